--- a/stilerelay/adapter.py
+++ b/ashvale/adapter.py
@@ -5,8 +5,8 @@
 import sys
 from typing import BinaryIO
 
-from stilerelay import wire
-from stilerelay.control import Controller
+from ashvale import wire
+from ashvale.control import Controller
 
 
 class Host:
@@ -51,7 +51,7 @@
             sink.write(host.step(header, source))
             sink.flush()
     except wire.WireError as error:
-        print(f"stilerelay: {error}", file=sys.stderr)
+        print(f"ashvale: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/stilerelay/control.py
+++ b/ashvale/control.py
@@ -1,4 +1,4 @@
-"""Types, events and actions are in stilerelay/interface.py; this module holds every decision.
+"""Types, events and actions are in ashvale/interface.py; this module holds every decision.
 
 Calls to a destination, or route apart, are paced by a ring of recent send times: one goes when the oldest is
 older than a window plus a latency-derived margin. N is told or learned; under one it stretches the window.
@@ -10,9 +10,9 @@
 import random
 from collections import defaultdict, deque
 
-from stilerelay import interface as api
-from stilerelay.interface import Effect, Outcome
-from stilerelay.state import Call, Destination, Endpoint, Lane, Message
+from ashvale import interface as api
+from ashvale.interface import Effect, Outcome
+from ashvale.state import Call, Destination, Endpoint, Lane, Message
 
 WINDOW_MS = 2000.0         # the ring's window: as long as the fixed spans that limits are commonly counted in
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
--- /dev/null
+++ b/ashvale/net/__init__.py
@@ -0,0 +1,1 @@
+"""What speaks to sockets: the loop, the platform's protocol and mail."""
--- a/stilerelay/state.py
+++ b/ashvale/state.py
@@ -1,4 +1,4 @@
-"""The state that decisions rest on: records only. Every decision is in stilerelay/control.py."""
+"""The state that decisions rest on: records only. Every decision is in ashvale/control.py."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
-from stilerelay import interface as api
+from ashvale import interface as api
 
 NEVER = -1e12
 """A time before every other."""
--- a/stilerelay/wire.py
+++ b/ashvale/wire.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, Union
 
-from stilerelay import interface as api
+from ashvale import interface as api
 
 
 class WireError(Exception):
--- a/tests/rulebook.py
+++ b/tests/rulebook.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from stilerelay import interface as api
-from stilerelay.control import Controller
-from stilerelay.interface import Effect, Outcome
+from ashvale import interface as api
+from ashvale.control import Controller
+from ashvale.interface import Effect, Outcome
 
 NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
 
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from stilerelay import interface as api
-from stilerelay.interface import Effect
+from ashvale import interface as api
+from ashvale.interface import Effect
 
 SAFE = api.MessageClass("safe", Effect.SAFE, 1000.0, 6000.0, 1.0, 0.2)
 KEYED = api.MessageClass("keyed", Effect.KEYED, 2000.0, 12000.0, 1.0, 0.4, "all", 5000.0)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,14 +10,14 @@
 
 
 def test_the_module_stays_short() -> None:
-    lines = (ROOT / "stilerelay/control.py").read_text().splitlines()
+    lines = (ROOT / "ashvale/control.py").read_text().splitlines()
     assert sum(1 for text in lines if text.strip()) <= 400
     assert max(map(len, lines)) <= 110
 
 
 def test_the_module_names_its_interface_first_and_uses_no_clock() -> None:
-    tree = ast.parse((ROOT / "stilerelay/control.py").read_text())
-    assert (ast.get_docstring(tree) or "").split("\n")[0].count("stilerelay/interface.py") == 1
+    tree = ast.parse((ROOT / "ashvale/control.py").read_text())
+    assert (ast.get_docstring(tree) or "").split("\n")[0].count("ashvale/interface.py") == 1
     names = {alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names}
     assert names <= {"random", "math", "heapq"}
 
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -7,9 +7,9 @@
 from hypothesis import settings as budget
 from hypothesis import strategies as st
 
-from stilerelay import interface as api
-from stilerelay.control import Controller
-from stilerelay.interface import Outcome
+from ashvale import interface as api
+from ashvale.control import Controller
+from ashvale.interface import Outcome
 from tests.rulebook import Driver, RuleBroken
 from tests.samples import CLASSES, line, listed, settings
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from stilerelay import interface as api
-from stilerelay.control import MARGIN_MS, WINDOW_MS
-from stilerelay.interface import Outcome
+from ashvale import interface as api
+from ashvale.control import MARGIN_MS, WINDOW_MS
+from ashvale.interface import Outcome
 from tests.rulebook import Driver
 from tests.samples import line, listed, settings
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from stilerelay import interface as api
-from stilerelay.interface import Outcome
+from ashvale import interface as api
+from ashvale.interface import Outcome
 from tests.rulebook import Driver
 from tests.samples import CLASSES, KEYED, ORDERED, SAFE, UNSAFE, ZONED, line, listed, settings
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stilerelay import adapter, wire
-from stilerelay import interface as api
+from ashvale import adapter, wire
+from ashvale import interface as api
 
 MINIMAL = {
     "categories": [{"objective_ms": 1000, "give_up_ms": 5000.0, "repeat": "pure"}],
