--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -159,7 +159,7 @@
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
-        while http.our_state in (h11.IDLE,):
+        while True:
             taken: Optional[Entry] = None
             status, headers = 200, list[tuple[str, str]]()
             try:
@@ -176,8 +176,9 @@
                 if taken is not None:
                     self.exchange.withdraw(taken)
                 raise
-            if http.our_state is h11.DONE and http.their_state is h11.DONE:
-                http.start_next_cycle()
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                return
+            http.start_next_cycle()
 
     def _request(self, connection: Connection, http: h11.Connection) -> Coroutine[Optional[Request]]:
         """Read one request; None at the end of the connection."""
