--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -12,12 +12,13 @@
 import sys
 import time
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Optional
 
 from ashvale import config
 from ashvale.exchange import Exchange
 from ashvale.journal import Journal
-from ashvale.net.loop import Listener, Loop
+from ashvale.net.loop import Loop, Task
+from ashvale.net.mail import MailCarrier, MailFront
 from ashvale.net.platform import Discovery, Notices, Pool, Server
 
 HANDOVER_MS = 600.0  # after SIGTERM new connections still come for so long
@@ -61,9 +62,13 @@
         self.loop = loop
         self.exchange = Exchange(loop, told.settings, told.seed, Journal(told.state, told.limits.disk_bytes))
         self.leaving = False
-        self.listeners: list[Listener] = []
+        self.tasks: list[Task] = []
+        self.server: Optional[Server] = None
+        self.mail: Optional[MailFront] = None
         if told.platform is not None:
             self._platform(told.platform, told.limits.sockets)
+        if told.mail is not None:
+            self._mail(told.mail, told.limits.sockets)
         self.exchange.resume()
 
     def _platform(self, front: config.Platform, sockets: int) -> None:
@@ -75,9 +80,17 @@
         self.exchange.carriers["platform"] = pool
         self.server = Server(self.loop, self.exchange, front.listen, sockets // 2, notices)
         self.exchange.fronts["platform"] = self.server
-        self.loop.spawn(notices.run(), "notices")
-        self.loop.spawn(pool.sweep(), "pool")
-        self.loop.spawn(discovery.run(), "discovery")
+        for steps, name in ((notices.run(), "notices"), (pool.sweep(), "pool"),
+                            (discovery.run(), "discovery")):
+            self.tasks.append(self.loop.spawn(steps, name))
+
+    def _mail(self, setup: config.Mail, sockets: int) -> None:
+        carrier = MailCarrier(self.loop, self.exchange, setup, sockets // 8)
+        self.exchange.carriers["mail"] = carrier
+        carrier.announce()
+        self.mail = MailFront(self.loop, self.exchange, setup)
+        self.exchange.fronts["mail"] = self.mail
+        self.tasks.append(self.loop.spawn(carrier.sweep(), "mail pool"))
 
     def leave(self) -> None:
         """Serve through the handover, deliver what can be delivered, and end."""
@@ -86,12 +99,26 @@
         self.leaving, now = True, self.loop.now()
         log.info("leaving")
         self.exchange.close_at(now + LAST_SEND_MS)
-        self.server.closing = True
+        if self.server is not None:
+            self.server.closing = True
         self.loop.call_at(now + HANDOVER_MS, self._handed_over)
         self.loop.call_at(now + END_MS, self.loop.stop)
 
+    def halt(self) -> None:
+        """End at once, as a kill would: for a courier that shares its loop with others."""
+        self.exchange.halt()
+        for task in self.tasks:
+            task.cancel()
+        for listener in ((self.server.listener,) if self.server else ()) + tuple(
+                self.mail.listeners if self.mail else ()):
+            listener.close()
+            for connection in list(listener.open):
+                connection.close()
+
     def _handed_over(self) -> None:
-        self.server.leave()
+        for front in (self.server, self.mail):
+            if front is not None:
+                front.leave()
         self._end_when_idle()
 
     def _end_when_idle(self) -> None:
--- a/ashvale/config.py
+++ b/ashvale/config.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, Optional
 
@@ -17,6 +18,7 @@
 
 _EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 _MISSING = object()
+MAIL_FILE = Path(__file__).parent.parent / "deploy" / "mail.toml"
 DISK_MB, SOCKETS = 3, 1024  # taken where the deployment states no limit
 
 
@@ -51,6 +53,7 @@
     limits: Limits
     settings: api.Settings
     platform: Optional[Platform]
+    mail: Optional[Mail] = None
 
 
 def parse(text: bytes | str, what: str) -> Any:
@@ -86,18 +89,45 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Read what the platform tells a courier: the environment, and the file that it names."""
-    path = environ.get("LB_CONFIG", "")
-    if not path:
-        raise ConfigError("environment: key 'LB_CONFIG' is missing")
+    """Read all that one courier is told: by the platform, by the mail front's file, or by both."""
+    file = Path(environ.get("ASHVALE_MAIL") or MAIL_FILE)
+    root = read_toml(file) if file.exists() or "ASHVALE_MAIL" in environ else {}
+    front = mail(root, file.name)
+    if environ.get("LB_CONFIG"):
+        told = _platform(environ)
+        return replace(told, mail=front, settings=with_mail(told.settings, front)) if front else told
+    if front is None:
+        raise ConfigError("environment: key 'LB_CONFIG' is missing, and the mail front is off")
+    limits = get(root, "limits", dict, {}, file.name)
+    where = f"{file.name}: limits"
+    disk = _least(limits, "disk_mb", float, float(DISK_MB), 0.2, where)
+    return Config(
+        name=front.hostname, state=_state(environ.get("LB_STATE") or get(root, "state", str, "", file.name)),
+        seed=0, limits=Limits(_least(limits, "sockets", int, SOCKETS, 64, where), int(disk * 1_000_000)),
+        settings=with_mail(None, front), platform=None, mail=front)
+
+
+def read_toml(file: Path) -> Any:
     try:
-        root = parse(Path(path).read_bytes(), "config")
+        return tomllib.loads(file.read_text())
+    except OSError as error:
+        raise ConfigError(f"{file.name}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{file.name}: not TOML ({error})") from None
+
+
+def _state(folder: str) -> Path:
+    if not folder or not Path(folder).is_dir():
+        raise ConfigError(f"environment: key 'LB_STATE' names no folder: '{folder}'")
+    return Path(folder)
+
+
+def _platform(environ: Mapping[str, str]) -> Config:
+    try:
+        root = parse(Path(environ["LB_CONFIG"]).read_bytes(), "config")
     except OSError as error:
         raise ConfigError(f"environment: key 'LB_CONFIG': {error}") from None
     limits = get(root, "limits", dict, {}, "config")
-    state = environ.get("LB_STATE", "")
-    if not state or not Path(state).is_dir():
-        raise ConfigError(f"environment: key 'LB_STATE' names no folder: '{state}'")
     listen = environ.get("LB_LISTEN") or get(root, "listen", str, what="config")
     discovery = environ.get("LB_DISCOVERY") or get(root, "discovery", str, what="config")
     seed = get(root, "seed", str, "0", "config")
@@ -107,7 +137,7 @@
         raise ConfigError(f"config: key 'seed' is no hexadecimal number: '{seed}'") from None
     return Config(
         name=environ.get("LB_NAME") or get(root, "name", str, "courier", "config"),
-        state=Path(state), seed=number,
+        state=_state(environ.get("LB_STATE", "")), seed=number,
         limits=Limits(get(limits, "sockets", int, SOCKETS, "config: limits"),
                       int(get(limits, "disk_mb", float, float(DISK_MB), "config: limits") * 1_000_000)),
         settings=settings(get(root, "settings", dict, what="config")),
@@ -171,3 +201,173 @@
         overload_factor=get(rules, "overload_factor", float, 2.0),
         overload_for_ms=get(rules, "overload_for_ms", float, 1000.0),
         order_settle_ms=get(rules, "order_settle_ms", float, 0.0))
+
+
+@dataclass(frozen=True)
+class Listen:
+    """One place where the mail front listens."""
+
+    protocol: str
+    address: tuple[str, int]
+    most: int
+
+
+@dataclass(frozen=True)
+class Rule:
+    """What an envelope address that matches stands for."""
+
+    match: str
+    cls: str = ""
+    dest: str = ""
+    tenant: str = ""
+
+
+@dataclass(frozen=True)
+class MailInstance:
+    """A partner's mail server."""
+
+    dest: str
+    protocol: str
+    address: tuple[str, int]
+    zone: str
+    rate: float
+
+
+@dataclass(frozen=True)
+class Mail:
+    """The mail front, as the file under deploy/ sets it up."""
+
+    hostname: str
+    listen: tuple[Listen, ...]
+    size: int
+    recipients: int
+    idle_ms: float
+    classes: tuple[api.MessageClass, ...]
+    tenants: tuple[api.Tenant, ...]
+    receivers: tuple[Rule, ...]
+    senders: tuple[Rule, ...]
+    instances: tuple[MailInstance, ...]
+    settings: api.Settings
+
+
+MAIL_CLASS, MAIL_KIND = "mail/", "mail"
+MAIL_SIZE, MAIL_SIZE_MOST = 64 * 1024, 256 * 1024
+_MAIL_KEYS = {
+    "": {"enabled", "hostname", "state", "limits", "listen", "class", "tenant", "recipient", "sender",
+         "destination"},
+    "limits": {"size", "recipients", "client_idle_ms", "slots", "max_open", "attempts", "connect_timeout_ms",
+               "keepalive_ms", "max_wait_ms", "sockets", "disk_mb"},
+    "listen": {"protocol", "address", "connections"},
+    "class": {"name", "repeat", "aim_ms", "deadline_ms", "late_worth", "worth", "window_ms"},
+    "tenant": {"name", "share", "quota_per_s"},
+    "recipient": {"match", "class", "destination"},
+    "sender": {"match", "tenant"},
+    "destination": {"name", "rate", "instance"},
+    "instance": {"address", "protocol", "zone"},
+}
+
+
+def _checked(table: Any, part: str, what: str) -> Any:
+    """Guards against misspelt keys, which would otherwise silently leave a default in force."""
+    if not isinstance(table, dict):
+        raise ConfigError(f"{what}: a table was expected")
+    for key in table:
+        if key not in _MAIL_KEYS[part]:
+            raise ConfigError(f"{what}: unknown key '{key}'")
+    return table
+
+
+def _tables(root: Any, key: str, what: str) -> list[tuple[Any, str]]:
+    found = []
+    for number, table in enumerate(get(root, key, list, [], what), 1):
+        where = f"{what}: {key} {number}"
+        found.append((_checked(table, key, where), where))
+    return found
+
+
+def _choice(table: Any, key: str, allowed: tuple[str, ...], what: str, default: Any = _MISSING) -> str:
+    value: str = get(table, key, str, default, what)
+    if value not in allowed:
+        raise ConfigError(f"{what}: key '{key}' is '{value}', one of {', '.join(allowed)} was expected")
+    return value
+
+
+def _least(table: Any, key: str, kind: Any, default: Any, least: float, what: str) -> Any:
+    value = get(table, key, kind, default, what)
+    if not value >= least:
+        raise ConfigError(f"{what}: key '{key}' is {value}, at least {least:g} was expected")
+    return value
+
+
+def _mail_class(table: Any, what: str) -> api.MessageClass:
+    repeat = _choice(table, "repeat", ("safe", "never"), what)
+    deadline = _least(table, "deadline_ms", float, _MISSING, 1.0, what)
+    return api.MessageClass(
+        name=MAIL_CLASS + get(table, "name", str, what=what),
+        effect=api.Effect.SAFE if repeat == "safe" else api.Effect.UNSAFE,
+        aim_ms=_least(table, "aim_ms", float, deadline, 1.0, what), deadline_ms=deadline,
+        worth=get(table, "worth", float, 1.0, what), late_worth=get(table, "late_worth", float, 0.0, what),
+        window_ms=_least(table, "window_ms", float, deadline, 0.0, what))
+
+
+def mail(root: Any, what: str = "mail") -> Optional[Mail]:
+    """Check the mail front's file; None where it leaves the front off."""
+    _checked(root, "", what)
+    limits = _checked(get(root, "limits", dict, {}, what), "limits", f"{what}: limits")
+    where = f"{what}: limits"
+    size = _least(limits, "size", int, MAIL_SIZE, 1, where)
+    if size > MAIL_SIZE_MOST:
+        raise ConfigError(f"{where}: key 'size' is {size}, at most {MAIL_SIZE_MOST} was expected")
+    listen = tuple(
+        Listen(_choice(t, "protocol", ("smtp", "lmtp"), w),
+               address(get(t, "address", str, what=w), "address", w),
+               _least(t, "connections", int, 100, 1, w)) for t, w in _tables(root, "listen", what))
+    classes = tuple(_mail_class(t, w) for t, w in _tables(root, "class", what))
+    tenants = tuple(
+        api.Tenant(get(t, "name", str, what=w), get(t, "share", float, 1.0, w),
+                   get(t, "quota_per_s", float, 0.0, w)) for t, w in _tables(root, "tenant", what))
+    instances, names = [], []
+    for table, w in _tables(root, "destination", what):
+        names.append(get(table, "name", str, what=w))
+        if names[-1].isdigit() or names.count(names[-1]) > 1:
+            raise ConfigError(f"{w}: key 'name' is '{names[-1]}', a name used once was expected")
+        for t, wi in _tables(table, "instance", w):
+            instances.append(MailInstance(
+                names[-1], _choice(t, "protocol", ("smtp", "lmtp"), wi, "smtp"),
+                address(get(t, "address", str, what=wi), "address", wi), get(t, "zone", str, "", wi),
+                get(table, "rate", float, 0.0, w)))
+    known = tuple(c.name.removeprefix(MAIL_CLASS) for c in classes)
+    receivers = tuple(
+        Rule(get(t, "match", str, what=w).lower(), MAIL_CLASS + _choice(t, "class", known, w),
+             _choice(t, "destination", tuple(names), w)) for t, w in _tables(root, "recipient", what))
+    senders = tuple(
+        Rule(get(t, "match", str, what=w).lower(),
+             tenant=_choice(t, "tenant", tuple(x.name for x in tenants), w))
+        for t, w in _tables(root, "sender", what))
+    if not get(root, "enabled", bool, False, what):
+        return None
+    for key, value in (("listen", listen), ("class", classes), ("recipient", receivers)):
+        if not value:
+            raise ConfigError(f"{what}: key '{key}' is missing")
+    values = api.Settings(
+        classes=(), slots=_least(limits, "slots", int, 16, 1, where),
+        max_open=_least(limits, "max_open", int, 500, 1, where),
+        max_attempts=_least(limits, "attempts", int, 8, 1, where),
+        max_backoff_ms=_least(limits, "max_wait_ms", float, 60000.0, 0.0, where),
+        keepalive_ms=_least(limits, "keepalive_ms", float, 5000.0, 0.0, where),
+        connect_timeout_ms=_least(limits, "connect_timeout_ms", float, 1000.0, 1.0, where), tick_ms=5.0)
+    return Mail(get(root, "hostname", str, "ashvale.localdomain", what), listen, size,
+                _least(limits, "recipients", int, 100, 1, where),
+                _least(limits, "client_idle_ms", float, 300000.0, 1.0, where),
+                classes, tenants, receivers, senders, tuple(instances), values)
+
+
+def with_mail(base: Optional[api.Settings], front: Mail) -> api.Settings:
+    """The settings of a courier with a mail front, alone or beside the platform's."""
+    base = base or front.settings
+    kinds = tuple(kind for kind in base.kinds if kind.name != "any")
+    known = {tenant.name for tenant in base.tenants}
+    more = tuple(tenant for tenant in front.tenants if tenant.name not in known)
+    listed = base.listed_rates or any(i.rate > 0 for i in front.instances)
+    return replace(base, classes=base.classes + front.classes, kinds=(*kinds, api.Kind(MAIL_KIND)),
+                   tenants=base.tenants + more, listed_rates=listed, may_advise=True)
--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -204,7 +204,8 @@
 
     def _give_up(self, m: Message, now: float) -> None:
         """Answer at once: refused with advice where that is allowed, failed otherwise."""
-        advice = min(ADVICE_MS, self.s.max_backoff_ms) if self.s.may_advise else 0.0
+        back = max(ADVICE_MS, self._blocked(m.dest) - now)
+        advice = min(back, self.s.max_backoff_ms) if self.s.may_advise else 0.0
         self.actions.append(api.Refuse(m.id, advice) if self._may_refuse(m) else api.Fail(m.id))
         self._finish(m, now)
 
@@ -231,10 +232,17 @@
         size = next((e.lane.n for e in self.dests[dest].endpoints if e.lane.n), 1.0)
         return max(1000.0, len(self.dests[dest].queue) * WINDOW_MS / size)
 
+    def _blocked(self, dest: int) -> float:
+        """Return until when nothing goes to this destination, whatever happens; past times mean now."""
+        return min((e.lane.blocked_until for e in self.dests[dest].endpoints if e.ready), default=0.0)
+
     def _expire(self, m: Message, now: float) -> None:
         """Answer a waiting message that can no longer be delivered in time, or no longer be sent at all."""
-        late = now >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts
-        if not (m.out or m.done) and (late or not self._may_repeat(m, now)):
+        # Guards clients against silence: what a told wait or its own pause keeps until it is too late has
+        # been given up already, and is answered now, not when its time is up.
+        start = max(now, m.not_before, self._blocked(m.dest))
+        late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts
+        if not (m.out or m.done) and (late or not self._may_repeat(m, start)):
             self._give_up(m, now)
 
     def _may_repeat(self, m: Message, now: float) -> bool:
@@ -252,8 +260,10 @@
             return False
         if m.key and (self.turns[m.key][0] is not m or now < self.rests.get(m.key, 0.0)):
             return False
-        # For an unsafe message a call that may hang or fail would be its loss.
-        return m.cls.effect is not Effect.UNSAFE or (e.out_since is None and not overdue(e, now))
+        # For an unsafe message a call that may hang or fail would be its loss; but where nothing may be
+        # probed and only such messages wait, an endpoint that failed once would never be tried again.
+        healthy = e.out_since is None and not overdue(e, now)
+        return m.cls.effect is not Effect.UNSAFE or healthy or not self.s.may_probe
 
     def _seen(self, e: Endpoint, now: float) -> int:
         return max(1, sum(at > now - RATE_MS for at in self.dests[e.dest].arrivals))
@@ -370,7 +380,8 @@
             m.not_before = now + RENEW_MS * 2.0 ** min(m.attempts - 1, 4) * self.random.uniform(0.75, 1.25)
             self._later(m.not_before, m.dest)
         self.dests[m.dest].queue.append(m)
-        self._expire(m, now)
+        for waiting in list(self.dests[m.dest].queue) if event.outcome is Outcome.FULL else (m,):
+            self._expire(waiting, now)
 
     def _learn(self, e: Endpoint, call: Call, event: api.Settled, now: float) -> None:
         lane, outcome = e.lane, event.outcome
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -12,7 +12,7 @@
 
 import logging
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Optional, Protocol
 
@@ -57,6 +57,7 @@
     deadline: float
     body: bytes
     retried: bool = False
+    envelope: str = ""
 
 
 @dataclass(frozen=True)
@@ -85,6 +86,9 @@
     def ended(self, entry: Entry) -> None:
         """Tell the client how its message ended, then call `Exchange.told`."""
 
+    def keep_ms(self, entry: Entry, state: str, after_ms: float) -> float:
+        """How long the outcome is remembered for a client that asks again under the same id."""
+
 
 class Carrier(Protocol):
     """The instances' side."""
@@ -95,6 +99,8 @@
 
     def close_idle(self, instance: str) -> None: ...
 
+    def halt(self) -> None: ...
+
 
 class Exchange:
     """Holds what was taken on until its end has been told."""
@@ -105,7 +111,6 @@
         self.fronts: dict[str, Front] = {}
         self.carriers: dict[str, Carrier] = {}
         self.instances: dict[str, Instance] = {}
-        self.on_idle: Callable[[], None] = lambda: None
         self._classes = {c.name: number for number, c in enumerate(settings.classes)}
         self._tenants = {t.name: number for number, t in enumerate(settings.tenants)}
         self._kinds = {k.name: number for number, k in enumerate(settings.kinds)}
@@ -115,7 +120,7 @@
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
         self._out: dict[int, Execution] = {}         # by message
         self._events: list[api.Event] = []
-        self._due = False
+        self._due = self.halted = False
         self._wall = time.time() * 1000.0 - loop.now()
 
     # Clocks and names
@@ -164,7 +169,7 @@
         if len(self._owed) >= self.settings.max_open:
             return Nack(NACK_MS, "too many messages held")
         entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
-                      self.wall(command.deadline), command.body, command.retried)
+                      self.wall(command.deadline), command.body, command.retried, command.envelope)
         try:
             self.journal.take(entry)
         except Full as error:
@@ -188,22 +193,30 @@
             self._events.insert(0, self._events.pop())
             self.told(entry)
 
-    def told(self, entry: Entry, keep_until: float = 0.0) -> None:
-        """The client knows the end; forget the message, or remember its outcome for a while."""
-        if keep_until > self.loop.now():
+    def told(self, entry: Entry) -> None:
+        """The client knows the end; forget the message, or remember its outcome as long as was decided."""
+        if self.halted:
+            return
+        if entry.keep_until > self.wall(self.loop.now()):
             self.journal.shorten(entry)
-            self.loop.call_at(keep_until, lambda: self.told(entry))
+            self.loop.call_at(self.local(entry.keep_until) + 1.0, lambda: self.told(entry))
         else:
-            self._ids.pop((entry.front, entry.id), None)
+            if self._ids.get((entry.front, entry.id)) is entry:
+                del self._ids[entry.front, entry.id]
             self.journal.ended(entry)
-        self._check_idle()
 
     # The instances' side
 
     def instances_known(self, how: api.ListKind, instances: Iterable[Instance], version: int = 0) -> None:
         """News of the list: the whole of one carrier's instances, or what changed."""
-        lines = []
-        for instance in instances:
+        lines, told = [], list(instances)
+        if how is not api.ListKind.DELTA:
+            # Guards one carrier's instances against another's whole list, which says nothing of them.
+            carriers = {instance.carrier for instance in told} or {"platform"}
+            told += [i for i in self.instances.values() if i.carrier not in carriers]
+            names, busy = {i.name for i in told}, {e.instance.name for e in self._out.values()}
+            self.instances = {n: i for n, i in self.instances.items() if n in names or n in busy}
+        for instance in told:
             known = self.instances.get(instance.name)
             gone, instance = instance.gone, known if instance.gone and known else instance
             readiness = (api.Readiness.GONE if gone else
@@ -215,17 +228,17 @@
         self._post(api.ListKnown(how, version, tuple(lines)), at_once=True)
 
     def report(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float = 0.0,
-               over: bool = False, no_slot: bool = False) -> None:
-        """One part of an execution has ended; `over` tells that nothing is owed for the message any more."""
-        if entry.number not in execution.open:
+               over: str = "", no_slot: bool = False) -> None:
+        """One part of an execution has ended; `over` is the message's end where the instance tells it."""
+        if self.halted or entry.number not in execution.open:
             return
         execution.open.discard(entry.number)
         self._out.pop(entry.number, None)
         attempt = execution.attempts[execution.parts.index(entry)]
-        finished = outcome is Outcome.OK or over or entry.number not in self._owed
+        finished = outcome is Outcome.OK or bool(over) or entry.number not in self._owed
         self._journal_outcome(entry, outcome)
         if outcome is Outcome.OK or over:
-            self._decide(entry, DELIVERED)
+            self._decide(entry, over or DELIVERED)
         took = self.loop.now() - execution.sent
         log.debug("execution", extra={
             "id": entry.id, "attempt": attempt, "instance": execution.instance.name, "outcome": outcome.value,
@@ -250,6 +263,8 @@
 
     def _turn(self) -> None:
         """Handle the gathered events, then let the executions begin that they brought."""
+        if self.halted:
+            return
         now, events = self.loop.now(), self._events
         self._events, self._due = [], False
         sends: dict[str, list[Execution]] = {}
@@ -314,11 +329,13 @@
         """The one end of a message."""
         if self._owed.pop(entry.number, None) is None and entry.state:
             return
+        keep_ms = self.fronts[entry.front].keep_ms(entry, state, after_ms)
+        keep_until = self.wall(self.loop.now()) + keep_ms if keep_ms > 0 else 0.0
         try:
-            self.journal.decided(entry, state, after_ms)
+            self.journal.decided(entry, state, after_ms, keep_until)
         except Full as error:  # told all the same; after a restart it would be decided anew
             log.error("end not written", extra={"id": entry.id, "why": str(error)})
-            entry.state, entry.after_ms = state, after_ms
+            entry.state, entry.after_ms, entry.keep_until = state, after_ms, keep_until
         log.debug("ended", extra={"id": entry.id, "state": state, "after": after_ms})
         self._tell(entry)
 
@@ -331,10 +348,14 @@
         """Begin no execution at that time or later."""
         self._post(api.Closing(at), at_once=True)
 
+    def halt(self) -> None:
+        """Do nothing any more, whatever comes: the journal is left as a kill would leave it."""
+        self.halted = True
+        self.journal.close()
+        for carrier in self.carriers.values():
+            carrier.halt()
+
     @property
     def idle(self) -> bool:
+        """True when nobody is owed anything."""
         return not (self._owed or self._out or any(not e.keep_until for e in self.journal.entries.values()))
-
-    def _check_idle(self) -> None:
-        if not self._owed:
-            self.on_idle()
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -51,6 +51,7 @@
     deadline: float
     body: bytes
     retried: bool = False
+    envelope: str = ""                 # what a front needs to know besides; the exchange passes it on
     attempts: int = 0
     out_since: Optional[float] = None  # an execution is out since
     out_zone: int = 0
@@ -60,8 +61,9 @@
     after_ms: float = 0.0
     keep_until: float = 0.0            # the outcome is remembered until then
 
-    _KEPT = ("number", "id", "front", "cls", "dest", "tenant", "key", "deadline", "retried", "attempts",
-             "out_since", "out_zone", "ran_at", "ran_zone", "state", "after_ms", "keep_until")
+    _KEPT = ("number", "id", "front", "cls", "dest", "tenant", "key", "deadline", "retried", "envelope",
+             "attempts", "out_since", "out_zone", "ran_at", "ran_zone", "state", "after_ms",
+             "keep_until")
 
     def pack(self) -> bytes:
         head = json.dumps({name: getattr(self, name) for name in self._KEPT}, separators=(",", ":")).encode()
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -295,7 +295,7 @@
 
     def _event(self, mask: int) -> None:
         if mask & select.EPOLLOUT:
-            self._flush()
+            self.flush()
         if mask & (select.EPOLLIN | select.EPOLLHUP | select.EPOLLERR) and not self.ended:
             self._receive()
         elif mask & (select.EPOLLHUP | select.EPOLLERR):
@@ -314,7 +314,7 @@
         except OSError as error:
             self._fail(error)
 
-    def _flush(self) -> None:
+    def flush(self) -> None:
         try:
             while len(self.outbound) and self.fault is None:
                 self.outbound.drain(self.sock)
@@ -339,7 +339,7 @@
             if self.fault is not None or self.closed:
                 raise Broken(str(self.fault or "closed"))
             done += self.outbound.append(view[done:])
-            self._flush()
+            self.flush()
             self._interest()
             if done == len(data) and not len(self.outbound) and self.fault is None:
                 return
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -11,7 +11,7 @@
 import json
 import logging
 import re
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Optional
@@ -20,7 +20,7 @@
 
 from ashvale import interface as api
 from ashvale.config import ConfigError, get
-from ashvale.exchange import RETURNED, Command, Exchange, Execution, Instance, Nack
+from ashvale.exchange import DELIVERED, RETURNED, Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.net.loop import (
@@ -33,16 +33,15 @@
     Listener,
     Loop,
     Signal,
-    Task,
     connect,
     sleep,
 )
+from ashvale.net.pool import Carrier
 
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
 REQUEST_MS = 5000.0       # a service client has this long for one request
 IDLE_MS = 75000.0         # and may leave its connection idle for this long
 LINGER_MS = 250.0         # the rest of an answer that is settled may trickle in for this long
-KEEPALIVE_EARLY_MS = 750.0  # a connection is given up this long before its instance would close it
 WATCH_MS, AGENT_MS = 10000.0, 1000.0  # how long a watch may wait, and discovery's agent to answer
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 NOTICES_MOST = 400        # lines in one notice
@@ -150,6 +149,9 @@
         else:
             self.exchange.told(entry)
 
+    def keep_ms(self, entry: Entry, state: str, after_ms: float) -> float:
+        return 0.0  # an id is never used again here
+
     def leave(self) -> None:
         """Accept no more, and end the connections on which no request is under way."""
         self.listener.close()
@@ -226,7 +228,7 @@
             if request.method not in ("GET", "HEAD"):
                 raise Refused(405, f"{request.method} /up")
             return 200, [], None
-        if self.exchange.message_class(request.path[1:]) is None:
+        if "/" in request.path[1:] or self.exchange.message_class(request.path[1:]) is None:
             raise Refused(404, f"no class {request.path[:80]}")
         if request.method != "POST":
             raise Refused(405, f"{request.method} {request.path}")
@@ -358,7 +360,6 @@
     def __init__(self, connection: Connection, address: Address) -> None:
         self.connection, self.host = connection, f"{address[0]}:{address[1]}"
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
-        self.idle_since = 0.0
 
     def ask(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes, until: float,
             reply: Reply) -> Coroutine[None]:
@@ -412,77 +413,27 @@
         return done and not self.connection.stale
 
 
-class Pool:
-    """Carries executions to instances, on connections that it keeps for the next."""
-
-    def __init__(self, loop: Loop, exchange: Exchange, most_idle: int) -> None:
-        self.loop, self.exchange, self.most_idle = loop, exchange, most_idle
-        self._idle: defaultdict[str, list[HttpClient]] = defaultdict(list)
-        self._tasks: dict[int, Task] = {}
-        self._keep = max(0.0, exchange.settings.keepalive_ms - KEEPALIVE_EARLY_MS)
-
-    def execute(self, execution: Execution) -> None:
-        self._tasks[id(execution)] = self.loop.spawn(self._run(execution), "execution")
+class Pool(Carrier[HttpClient]):
+    """Carries executions to instances as calls."""
 
-    def cancel(self, execution: Execution) -> None:
-        if task := self._tasks.pop(id(execution), None):
-            task.cancel()
-            self._report_all(execution, Outcome.CANCELLED)
-
-    def close_idle(self, instance: str) -> None:
-        for client in self._idle.pop(instance, []):
-            client.connection.close()
-
-    def sweep(self) -> Coroutine[None]:
-        """Close what has idled too long or is of no more use."""
-        while True:
-            yield from sleep(self.loop, 250.0)
-            for name, clients in list(self._idle.items()):
-                kept = [c for c in clients if self._usable(c)]
-                for client in clients:
-                    if client not in kept:
-                        client.connection.close()
-                self._idle[name] = kept
-                if not kept:
-                    del self._idle[name]
-
-    def _usable(self, client: HttpClient) -> bool:
-        return not client.connection.stale and self.loop.now() - client.idle_since < self._keep
-
-    def _reuse(self, name: str) -> Optional[HttpClient]:
-        """The connection used last, so that the others may grow old."""
-        clients = self._idle.get(name, [])
-        while clients:
-            client = clients.pop()
-            if self._usable(client):
-                return client
-            client.connection.close()
-        return None
-
-    def _run(self, execution: Execution) -> Coroutine[None]:
+    def _converse(self, client: Optional[HttpClient],
+                  execution: Execution) -> Coroutine[Optional[HttpClient]]:
         reply, instance = Reply(), execution.instance
-        client: Optional[HttpClient] = None
         outcome = Outcome.CONNECT_FAILED
         try:
-            client = self._reuse(instance.name)
             if client is None:
-                limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms)
-                connection = yield from connect(self.loop, instance.address, limit)
-                client = HttpClient(connection, instance.address)
+                client = HttpClient((yield from self._connect(execution)), instance.address)
             yield from self._ask(client, execution, reply)
         except Expired:
             outcome = Outcome.TIMEOUT if reply.written else Outcome.CONNECT_FAILED
         except Broken as error:
             log.debug("execution broke", extra={"instance": instance.name, "why": str(error)})
             outcome = Outcome.RESET if reply.written else Outcome.CONNECT_FAILED
-        finally:
-            self._tasks.pop(id(execution), None)
-            if reply.status and (len(execution.parts) == 1 or outcome is Outcome.CONNECT_FAILED):
-                self._settle(execution, reply)
-            else:
-                self._report_all(execution, outcome)
-            if client is not None:
-                self._give_back(instance.name, client)
+        whole = outcome is Outcome.CONNECT_FAILED
+        if reply.status and (len(execution.parts) == 1 or reply.status != 200 or whole):
+            self._settle(execution, reply)
+        self._report_all(execution, outcome)
+        return client
 
     def _ask(self, client: HttpClient, execution: Execution, reply: Reply) -> Coroutine[None]:
         wait = f"{max(1, round(execution.until - self.loop.now()))}m"
@@ -509,29 +460,18 @@
             self.exchange.report(execution, entry, outcome, told, over, outcome is Outcome.MOOT and busy)
         return True
 
-    def _report_all(self, execution: Execution, outcome: Outcome) -> None:
-        for entry in execution.parts:
-            self.exchange.report(execution, entry, outcome)
-
-    def _give_back(self, name: str, client: HttpClient) -> None:
-        if client.reusable and sum(map(len, self._idle.values())) < self.most_idle:
-            client.idle_since = self.loop.now()
-            self._idle[name].append(client)
-        else:
-            client.connection.close()
-
 
-def outcome_of(end: int | str, busy: bool = False) -> tuple[Outcome, bool]:
-    """What a status, or a word of a batch's answer, says of a message; and whether the message is over."""
+def outcome_of(end: int | str, busy: bool = False) -> tuple[Outcome, str]:
+    """What a status, or a word of a batch's answer, says of a message; and its end where it is over."""
     if end in (200, "delivered"):
-        return Outcome.OK, False
+        return Outcome.OK, ""
     if end in (410, "over"):
-        return Outcome.MOOT, True
+        return Outcome.MOOT, DELIVERED
     if end in (504, "spent") or (end == 503 and busy):
-        return Outcome.MOOT, False
+        return Outcome.MOOT, ""
     if end in (429, 503, "refused"):
-        return Outcome.FULL, False
-    return Outcome.ERROR, False  # an answer that is not understood proves nothing
+        return Outcome.FULL, ""
+    return Outcome.ERROR, ""  # an answer that is not understood proves nothing
 
 
 # Discovery
--- /dev/null
+++ b/ashvale/net/pool.py
@@ -0,0 +1,128 @@
+"""What every carrier of executions shares: their tasks, and the connections kept for the next one.
+
+It owns the idle connections to instances and closes them in time. It must never decide which instance is
+called, never have two executions on one connection at once, and never let an execution end unreported.
+"""
+
+from __future__ import annotations
+
+import logging
+from abc import ABC, abstractmethod
+from collections import defaultdict
+from typing import Generic, Optional, Protocol, TypeVar
+
+from ashvale.exchange import Exchange, Execution
+from ashvale.interface import Outcome
+from ashvale.net.loop import Connection, Coroutine, Loop, Task, connect, sleep
+
+EARLY_MS = 750.0  # a connection is given up this long before its instance would close it
+SWEEP_MS = 250.0
+log = logging.getLogger(__name__)
+
+
+class Client(Protocol):
+    """The requesting side of a connection, whatever it speaks."""
+
+    connection: Connection
+
+    @property
+    def reusable(self) -> bool: ...
+
+
+C = TypeVar("C", bound=Client)
+
+
+class Carrier(ABC, Generic[C]):
+    """Runs executions, each on a connection of its own for as long as it lasts."""
+
+    def __init__(self, loop: Loop, exchange: Exchange, most_idle: int) -> None:
+        self.loop, self.exchange, self.most_idle = loop, exchange, most_idle
+        self._idle: defaultdict[str, list[tuple[C, float]]] = defaultdict(list)
+        self._tasks: dict[int, Task] = {}
+        self._made: dict[int, Connection] = {}
+        self._keep = max(0.0, exchange.settings.keepalive_ms - EARLY_MS)
+
+    @abstractmethod
+    def _converse(self, client: Optional[C], execution: Execution) -> Coroutine[Optional[C]]:
+        """Carry out one execution and report each part; return what may be used again."""
+
+    def _drop(self, client: C) -> None:
+        """End a connection on which nothing is under way."""
+        client.connection.close()
+
+    def execute(self, execution: Execution) -> None:
+        self._tasks[id(execution)] = self.loop.spawn(self._run(execution), "execution")
+
+    def cancel(self, execution: Execution) -> None:
+        if task := self._tasks.pop(id(execution), None):
+            self._report_all(execution, Outcome.CANCELLED)
+            task.cancel()
+
+    def close_idle(self, instance: str) -> None:
+        for client, _ in self._idle.pop(instance, []):
+            self._drop(client)
+
+    def halt(self) -> None:
+        """End every execution and connection; nothing is reported any more."""
+        for task in list(self._tasks.values()):
+            task.cancel()
+        for name in list(self._idle):
+            self.close_idle(name)
+
+    def sweep(self) -> Coroutine[None]:
+        """Close what has idled too long or is of no more use."""
+        while True:
+            yield from sleep(self.loop, SWEEP_MS)
+            for name, held in list(self._idle.items()):
+                for client, since in held:
+                    if not self._usable(client, since):
+                        self._drop(client)
+                self._idle[name] = [pair for pair in held if not pair[0].connection.closed]
+                if not self._idle[name]:
+                    del self._idle[name]
+
+    def _run(self, execution: Execution) -> Coroutine[None]:
+        name = execution.instance.name
+        held = self._reuse(name)
+        client: Optional[C] = None
+        try:
+            client = yield from self._converse(held, execution)
+        finally:
+            self._tasks.pop(id(execution), None)
+            self._report_all(execution, Outcome.RESET)  # guards the messages against a fault of ours
+            made = self._made.pop(id(execution), None)
+            if client is not None:
+                self._give_back(name, client)
+            for connection in (made, held.connection if held is not None else None):
+                if connection is not None and (client is None or connection is not client.connection):
+                    connection.close()
+
+    def _connect(self, execution: Execution) -> Coroutine[Connection]:
+        limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms)
+        connection = yield from connect(self.loop, execution.instance.address, limit)
+        self._made[id(execution)] = connection
+        return connection
+
+    def _report_all(self, execution: Execution, outcome: Outcome) -> None:
+        """Report every part that has not been reported yet."""
+        for entry in execution.parts:
+            self.exchange.report(execution, entry, outcome)
+
+    def _usable(self, client: C, since: float) -> bool:
+        return not client.connection.stale and self.loop.now() - since < self._keep
+
+    def _reuse(self, name: str) -> Optional[C]:
+        """The connection used last, so that the others may grow old."""
+        held = self._idle.get(name, [])
+        while held:
+            client, since = held.pop()
+            if self._usable(client, since):
+                return client
+            client.connection.close()
+        return None
+
+    def _give_back(self, name: str, client: C) -> None:
+        if client.reusable and sum(map(len, self._idle.values())) < self.most_idle:
+            self._idle[name].append((client, self.loop.now()))
+        else:
+            client.connection.close()
