--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,131 @@
+"""The journal alone: what comes back after a restart, and what a full or torn file does."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ashvale import journal
+from ashvale.journal import Entry, Full, Journal
+
+ROOM = 400_000
+
+
+def entry(id: str = "a", body: bytes = b"hello") -> Entry:
+    return Entry(0, id, "platform", "rate-update", "1", "home", "k", 9e12, body)
+
+
+def test_what_was_taken_comes_back_with_what_became_of_it(tmp_path: Path) -> None:
+    first = Journal(tmp_path, ROOM)
+    one, two, three = entry("1", bytes(range(256))), entry("2"), entry("3")
+    for each in (one, two, three):
+        first.take(each)
+    first.started([one, two], 1000.0, 4)
+    first.outcome(one, never_ran=True)
+    first.started([one], 2000.0, 5)
+    first.outcome(two, never_ran=False)
+    first.started([two], 3000.0, 6)
+    first.decided(three, "returned", 250.0, 77.0)
+    back = {e.id: e for e in Journal(tmp_path, ROOM).entries.values()}
+    assert back["1"].body == bytes(range(256)) and back["1"].attempts == 2
+    assert (back["1"].ran_at, back["1"].ran_zone) == (2000.0, 5)  # out when the process ended: may have run
+    assert (back["2"].ran_at, back["2"].attempts) == (1000.0, 2)  # the first that may have run counts
+    assert (back["3"].state, back["3"].after_ms, back["3"].keep_until) == ("returned", 250.0, 77.0)
+
+
+def test_what_has_ended_stays_away_and_numbers_are_not_used_twice(tmp_path: Path) -> None:
+    first = Journal(tmp_path, ROOM)
+    one, two = entry("1"), entry("2")
+    first.take(one)
+    first.take(two)
+    first.ended(one)
+    second = Journal(tmp_path, ROOM)
+    three = entry("3")
+    second.take(three)
+    assert [e.id for e in second.entries.values()] == ["2", "3"] and three.number > two.number
+
+
+@pytest.mark.parametrize("cut", [1, 5, 12, 40])
+def test_a_torn_end_costs_only_itself(tmp_path: Path, cut: int) -> None:
+    """Guards a restart against a record that a kill or a full disk cut short."""
+    first = Journal(tmp_path, ROOM)
+    first.take(entry("1"))
+    first.take(entry("2"))
+    file = tmp_path / "journal"
+    file.write_bytes(file.read_bytes()[:-cut])
+    second = Journal(tmp_path, ROOM)
+    assert [e.id for e in second.entries.values()] == ["1"]
+    second.take(entry("3"))
+    assert [e.id for e in Journal(tmp_path, ROOM).entries.values()] == ["1", "3"]
+
+
+def test_a_damaged_record_is_not_believed(tmp_path: Path) -> None:
+    Journal(tmp_path, ROOM).take(entry("1"))
+    file = tmp_path / "journal"
+    data = bytearray(file.read_bytes())
+    data[-1] ^= 1
+    file.write_bytes(bytes(data))
+    assert not Journal(tmp_path, ROOM).entries
+
+
+def test_rewriting_keeps_old_and_new_file_within_the_room(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the disk limit, at which the courier would be taken for crashed; and counts across a rewrite."""
+    seen = [0]
+    real = journal.os.replace
+
+    def replace(new: Path, old: Path) -> None:
+        if old.exists():
+            seen.append(new.stat().st_size + old.stat().st_size)
+        real(new, old)
+
+    monkeypatch.setattr(journal.os, "replace", replace)
+    kept = Journal(tmp_path, ROOM)
+    stays = entry("stays")
+    kept.take(stays)
+    for number in range(3000):
+        passing = entry(f"p{number}", b"x" * 200)
+        kept.take(passing)
+        kept.started([passing], 1.0, 0)
+        kept.outcome(passing, True)
+        kept.ended(passing)
+        if number % 500 == 0:
+            kept.started([stays], float(number + 1), 0)
+            kept.outcome(stays, False)
+    assert len(seen) > 2 and max(seen) <= ROOM
+    back, = Journal(tmp_path, ROOM).entries.values()
+    assert (back.attempts, back.ran_at) == (6, 1.0)
+
+
+def test_no_room_is_told_and_what_is_held_can_still_end(tmp_path: Path) -> None:
+    kept, held = Journal(tmp_path, ROOM), []
+    with pytest.raises(Full):
+        for number in range(1000):
+            held.append(entry(str(number), b"x" * 5000))
+            kept.take(held[-1])
+    for each in held[:-1]:
+        for at in range(8):
+            kept.started([each], float(at), 0)
+            kept.outcome(each, False)
+        kept.decided(each, "failed", 0.0)
+    assert (tmp_path / "journal").stat().st_size <= ROOM
+    assert all(e.state == "failed" for e in Journal(tmp_path, ROOM).entries.values())
+
+
+def test_a_failed_write_leaves_no_half_record(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards what follows: behind half a record nothing would be read any more."""
+    kept = Journal(tmp_path, ROOM)
+    kept.take(entry("1"))
+    real = journal.os.write
+
+    def failing(file: int, data: bytes) -> int:
+        real(file, bytes(data)[:7])
+        raise OSError(28, "no space left")
+
+    monkeypatch.setattr(journal.os, "write", failing)
+    with pytest.raises(Full):
+        kept.take(entry("2"))
+    monkeypatch.setattr(journal.os, "write", real)
+    kept.take(entry("3"))
+    assert [e.id for e in Journal(tmp_path, ROOM).entries.values()] == ["1", "3"]
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,298 @@
+"""The platform's front on real sockets: a table for each parser, and one test for each rule."""
+
+from __future__ import annotations
+
+import pytest
+
+from ashvale.interface import Outcome
+from ashvale.journal import Entry
+from ashvale.net import platform
+from ashvale.rehearsal import DROP, STALL
+from tests.stage import answer, batch_ids, request, scene
+
+
+@pytest.mark.parametrize(("text", "ms"), [
+    ("480m", 480.0), ("1500u", 1.5), ("0m", 0.0), ("1.5m", 1.5), ("480", None), ("m", None), ("-1m", None),
+    ("480s", None), ("", None), ("4 80m", None), ("1e3m", None)])
+def test_timeouts(text: str, ms: float | None) -> None:
+    assert platform.timeout_ms(text) == ms
+
+
+@pytest.mark.parametrize(("text", "dest"), [
+    ("dest=7", "7"), ("a=1; dest=07", "7"), ("dest=7,b=2", "7"), ("modest=7", None), ("dest=", None),
+    ("dest=7x", None), ("", None)])
+def test_destinations(text: str, dest: str | None) -> None:
+    assert platform.destination(text) == dest
+
+
+@pytest.mark.parametrize(("headers", "ms"), [
+    ({b"x-come-back-ms": b"750"}, 750.0), ({b"retry-after": b"1.5"}, 1500.0), ({}, 0.0),
+    ({b"x-come-back-ms": b"soon"}, 0.0), ({b"x-come-back-ms": b"-5"}, 0.0),
+    ({b"x-come-back-ms": b"nan"}, 0.0),
+    ({b"x-come-back-ms": b"20", b"retry-after": b"3"}, 20.0)])
+def test_told_waits(headers: dict[bytes, bytes], ms: float) -> None:
+    assert platform.wait_ms(headers) == ms
+
+
+@pytest.mark.parametrize(("end", "busy", "outcome", "over"), [
+    (200, False, Outcome.OK, ""), (500, False, Outcome.ERROR, ""), (429, False, Outcome.FULL, ""),
+    (503, False, Outcome.FULL, ""), (503, True, Outcome.MOOT, ""), (504, False, Outcome.MOOT, ""),
+    (410, False, Outcome.MOOT, "delivered"), (302, False, Outcome.ERROR, ""),
+    ("delivered", False, Outcome.OK, ""), ("failed", False, Outcome.ERROR, ""),
+    ("refused", False, Outcome.FULL, ""), ("spent", False, Outcome.MOOT, ""),
+    ("over", False, Outcome.MOOT, "delivered"), ("", False, Outcome.ERROR, "")])
+def test_answers(end: int | str, busy: bool, outcome: Outcome, over: str) -> None:
+    assert platform.outcome_of(end, busy) == (outcome, over)
+
+
+def test_batches_carry_any_bytes() -> None:
+    entries = [Entry(1, "a1", "", "", "", "", "", 0.0, b"x\r\ny"),
+               Entry(2, "b2", "", "", "", "", "k", 0.0, b"")]
+    body = platform.encode_batch(entries)
+    assert body == b"a1 - 4\r\nx\r\ny\r\nb2 k 0\r\n\r\n" and batch_ids(body) == ["a1", "b2"]
+    assert platform.decode_batch(b"a1 delivered\r\n\r\nodd\r\nb2 over\n") == {"a1": "delivered", "b2": "over"}
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+    (b"POST /up HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+    (b"GET /rate-update HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    (request("unheard-of", "a"), 404), (request("mail/x", "a"), 404),
+    (b"gibberish\r\n\r\n", 400), (b"GET /up HTTP/1.1\r\n\r\n", 400),
+    (request("rate-update", ""), 400), (request("rate-update", "a b"), 400),
+    (request("rate-update", "a", timeout="soon"), 400),
+    (request("rate-update", "a", X_Consignee="none"), 400),
+    (request("rate-update", "a", Tenant="nobody"), 400),
+    (request("usage-record", "a", Idempotency_Key=""), 400),
+    (request("rate-update", "a", body=b"x" * 65536), 202),
+    (request("rate-update", "a", body=b"x" * 65537), 413),
+    (request("rate-update", "a", Content_Length="99999999999"), 413),
+    (request("rate-update", "a", Content_Length="five"), 400),
+    (b"GET /up HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 20000, 431)], ids=lambda value: str(value)[:40])
+def test_malformed_input_is_told_by_its_status(data: bytes, status: int) -> None:
+    with scene() as s:
+        s.start()
+        assert s.ask(data).startswith(b"HTTP/1.1 %d " % status)
+
+
+def test_a_message_is_journalled_before_202_and_passed_on_unchanged() -> None:
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.start()
+        body = bytes(range(256))
+        id, head = s.hand_in("usage-record", body=body)
+        assert head.startswith(b"HTTP/1.1 202 ") and id.encode() in (s.folder / "journal").read_bytes()
+        s.until(lambda: s.courier.exchange.idle)
+        call, = endpoint.calls
+        assert (call.path, call.body) == ("/hook", body)
+        assert (call.headers["request-id"], call.headers["idempotency-key"]) == (id, f"k{id}")
+        assert call.headers["request-timeout"].endswith("m") and not s.discovery.notices
+
+
+def test_an_answer_that_cannot_be_given_withdraws_the_message() -> None:
+    with scene() as s:
+        s.start()
+        exchange = s.courier.exchange
+        deadline = s.loop.now() + 9000.0
+        command = platform.Command("a", "platform", "rate-update", "1", "home", "", deadline, b"")
+        exchange.withdraw(exchange.take(command))
+        endpoint = s.endpoint()
+        s.rest(100.0)
+        assert s.courier.exchange.idle and not endpoint.calls
+
+
+def test_a_message_goes_only_to_its_own_block() -> None:
+    with scene() as s:
+        ours, other = s.endpoint(block=1), s.endpoint(block=2)
+        s.start()
+        for _ in range(4):
+            s.hand_in(dest=1)
+        s.until(lambda: s.courier.exchange.idle)
+        assert len(ours.calls) == 4 and not other.calls
+
+
+def test_a_told_wait_silences_the_whole_partner() -> None:
+    with scene() as s:
+        one, two = s.endpoint(answer(429, X_Come_Back_Ms=600)), s.endpoint(answer(429, X_Come_Back_Ms=600))
+        s.start()
+        s.hand_in()
+        s.until(lambda: len(one.calls + two.calls) == 1)
+        s.rest(60.0)
+        s.hand_in()
+        s.until(lambda: s.courier.exchange.idle)
+        calls = sorted(call.at for call in one.calls + two.calls)
+        assert calls[1] - calls[0] >= 600.0
+
+
+@pytest.mark.parametrize(("cls", "script", "sends"), [
+    ("rate-update", DROP, 2), ("usage-record", DROP, 2), ("rate-update", answer(500), 2),
+    ("usage-record", b"HTTP/1.1 200 OK\r\nContent-", 1), ("usage-record", b"HTTP/1.1 2", 2)])
+def test_what_may_have_run_is_sent_again_with_the_same_id(cls: str, script: bytes | str, sends: int) -> None:
+    """A first line that says 200 is a delivery, however the answer ends."""
+    with scene() as s:
+        endpoint = s.endpoint(script)
+        s.start()
+        id, _ = s.hand_in(cls)
+        s.until(lambda: s.courier.exchange.idle)
+        assert [call.headers["request-id"] for call in endpoint.calls] == [id] * sends
+        assert endpoint.most_out == 1 and not s.discovery.notices
+
+
+def test_a_usage_record_is_not_sent_again_after_its_window() -> None:
+    categories = [{"name": "usage-record", "repeat": "token", "key_scope": "all", "objective_ms": 2000,
+                   "give_up_ms": 16000, "dedup_window_ms": 150}]
+    with scene(categories=categories) as s:
+        endpoint = s.endpoint(*[DROP] * 99)
+        s.start()
+        id, _ = s.hand_in("usage-record")
+        s.until(lambda: bool(s.discovery.notices))
+        s.rest(300.0)
+        assert endpoint.calls[-1].at - endpoint.calls[0].at < 150.0
+        assert s.discovery.notices[0]["id"] == id and s.discovery.notices[0]["state"] == "returned"
+
+
+def test_eight_attempts_at_most_across_a_restart() -> None:
+    with scene(limits={"most_tries": 3}) as s:
+        endpoint = s.endpoint(*[answer(500)] * 9)
+        s.start()
+        s.hand_in()
+        s.until(lambda: len(endpoint.calls) == 2 and endpoint.out == 0)
+        s.rest(40.0)
+        s.again()
+        s.until(lambda: bool(s.discovery.notices))
+        s.rest(200.0)
+        assert len(endpoint.calls) == 3 and s.courier.exchange.idle
+
+
+def test_a_usage_record_that_may_have_run_keeps_its_window_across_a_restart() -> None:
+    categories = [{"name": "usage-record", "repeat": "token", "key_scope": "all", "objective_ms": 2000,
+                   "give_up_ms": 16000, "dedup_window_ms": 400}]
+    with scene(categories=categories) as s:
+        endpoint = s.endpoint(STALL)
+        s.start()
+        s.hand_in("usage-record")
+        s.until(lambda: len(endpoint.calls) == 1)
+        s.courier.halt()
+        s.rest(450.0)
+        s.start()
+        s.until(lambda: bool(s.discovery.notices))
+        assert len(endpoint.calls) == 1 and s.discovery.notices[0]["state"] == "returned"
+
+
+def test_a_kill_loses_nothing_that_was_taken() -> None:
+    with scene() as s:
+        s.start()
+        ids = [s.hand_in(cls)[0] for cls in ("usage-record", "rate-update")]
+        s.again()
+        endpoint = s.endpoint()
+        s.until(lambda: s.courier.exchange.idle)
+        assert sorted(call.headers["request-id"] for call in endpoint.calls) == ids
+
+
+def test_a_notice_is_repeated_until_it_is_heard_and_across_a_restart() -> None:
+    with scene() as s:
+        s.discovery.refuse = 3
+        s.start()
+        id, _ = s.hand_in(timeout="50m")
+        s.until(lambda: s.discovery.refuse < 3)
+        s.again()
+        s.until(lambda: s.courier.exchange.idle)
+        assert {notice["id"] for notice in s.discovery.notices} == {id}
+        assert s.discovery.notices[0]["after_ms"] > 0
+
+
+def test_a_message_that_a_wait_keeps_too_long_is_returned_at_once_with_it() -> None:
+    with scene() as s:
+        endpoint = s.endpoint(answer(429, X_Come_Back_Ms=60000))
+        s.start()
+        s.hand_in(timeout="15000m")
+        s.until(lambda: bool(s.discovery.notices), 5000.0)
+        assert s.discovery.notices[0] == {"id": "m1", "state": "returned", "after_ms": 3000}
+        assert len(endpoint.calls) == 1
+
+
+def test_a_hub_takes_several_messages_in_one_call() -> None:
+    with scene() as s:
+        hub = s.endpoint(answer(503, X_Come_Back_Ms=300), kind="hub")
+        s.start()
+        ids = [s.hand_in()[0] for _ in range(5)]
+        s.until(lambda: s.courier.exchange.idle)
+        batches = [call for call in hub.calls if call.path == "/hook/batch"]
+        assert batches and set(ids) == {id for call in batches for id in batch_ids(call.body)} | {
+            call.headers["request-id"] for call in hub.calls if call.path == "/hook"}
+        assert not s.discovery.notices
+
+
+def test_connections_are_used_again_and_given_up_before_they_expire() -> None:
+    with scene(limits={"keepalive_ms": 1000.0}) as s:
+        endpoint = s.endpoint()
+        s.start()
+        for _ in range(3):
+            s.hand_in()
+            s.until(lambda: s.courier.exchange.idle)
+        assert len(endpoint.calls) == 3
+        first = endpoint.connections
+        s.rest(600.0)
+        s.hand_in()
+        s.until(lambda: s.courier.exchange.idle)
+        assert endpoint.connections == first + 1 and first <= 3
+
+
+def test_nothing_new_goes_to_an_endpoint_that_drains_and_the_watch_goes_on() -> None:
+    with scene() as s:
+        leaving, staying = s.endpoint(), s.endpoint()
+        s.start()
+        s.until(lambda: len(s.discovery.asked) >= 2)  # the whole list, then the watch
+        s.discovery.list("s-1", leaving, health="DRAINING")
+        s.until(lambda: len(s.discovery.asked) >= 3)
+        for _ in range(3):
+            s.hand_in()
+        s.until(lambda: s.courier.exchange.idle)
+        assert not leaving.calls and len(staying.calls) == 3
+
+
+def test_a_courier_serves_from_its_last_list_while_discovery_is_down() -> None:
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.discovery.down = True
+        s.start()
+        s.hand_in()
+        s.until(lambda: s.courier.exchange.idle)
+        assert len(endpoint.calls) == 1
+
+
+def test_what_cannot_be_held_is_refused_at_the_door() -> None:
+    with scene(limits={"max_open": 3}) as s:
+        s.start()
+        heads = [s.hand_in()[1] for _ in range(12)]
+        held = len([e for e in s.courier.exchange.journal.entries.values() if not e.state])
+        assert all(h.startswith((b"HTTP/1.1 202", b"HTTP/1.1 503")) for h in heads) and held <= 3
+
+
+def test_a_full_journal_refuses_at_the_door() -> None:
+    with scene(disk_mb=0.3) as s:
+        s.start()
+        heads = [s.hand_in(body=b"x" * 60000)[1] for _ in range(4)]
+        assert heads[0].startswith(b"HTTP/1.1 202") and heads[-1].startswith(b"HTTP/1.1 503")
+        assert b"Retry-After: 0.5" in heads[-1]
+        assert (s.folder / "journal").stat().st_size < 300_000
+
+
+def test_a_call_that_never_came_to_its_last_byte_never_ran() -> None:
+    with scene() as s:
+        endpoint = s.endpoint()
+        port = int(endpoint.dial.rpartition(":")[2])
+        endpoint.listener.close()
+        s.start()
+        s.hand_in("usage-record", timeout="700m")
+        s.until(lambda: s.courier.exchange.idle and bool(s.discovery.notices))
+        assert port and not endpoint.calls and s.discovery.notices[0]["state"] == "returned"
+
+
+def test_discoverys_list_is_read_whole() -> None:
+    line = {"host": "s-1", "dial": "10.1.0.18:8080", "site": "a", "class": "m2", "block": 3,
+            "health": "DRAINING", "share": 2, "born_ms": 0}
+    seq, whole, (host,) = platform.decode_hosts({"seq": 4, "whole": False, "hosts": [line]})
+    assert (seq, whole, host.dest, host.address) == (4, False, "3", ("10.1.0.18", 8080))
+    assert not host.ready and host.rate == 2.0
+    assert platform.decode_host({"host": "s-1", "health": "DELETED"}).gone
