--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -341,8 +341,10 @@
             done += self.outbound.append(view[done:])
             self.flush()
             self._interest()
-            if done == len(data) and not len(self.outbound) and self.fault is None:
-                return
+            if self.fault is None and not len(self.outbound):
+                if done == len(data):
+                    return
+                continue  # guards a long send against waiting for a socket that has just taken a whole ring
             if self.fault is None and not (yield self.changed, until):
                 raise Expired("the other side takes no data")
 
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -34,7 +34,7 @@
 ERRORS_MOST = 20      # a client that errs more often is sent away
 HOPS_MOST = 100       # a message that has come further goes in circles
 _PATH = re.compile(r"<(?:@[^:<>]*:)?((?:\"(?:[^\"\\]|\\.)*\"|[^<>\"\s])*)>((?:\s.*)?)\Z")
-_REPLY = re.compile(rb"([2-5][0-9]{2})(?:([ -])(.*))?\r?\n\Z", re.S)
+_REPLY = re.compile(rb"([2-5][0-9]{2})(?:([ -])(.*?))?\r?\n\Z", re.S)
 _UNITS = {"ms": 1.0, "millisecond": 1.0, "s": 1e3, "sec": 1e3, "second": 1e3, "m": 6e4, "min": 6e4,
           "minute": 6e4, "h": 3.6e6, "hr": 3.6e6, "hour": 3.6e6}
 _WAIT = re.compile(r"\b(?:after|in|wait|for|least)\b[\s:=]*(?:at least\s+)?(\d+(?:\.\d+)?)\s*"
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -144,6 +144,20 @@
         run(loop, connection.send(b"x", loop.now() + 50.0))
 
 
+def test_a_send_longer_than_the_ring_goes_on_when_the_socket_takes_it_whole() -> None:
+    loop = Loop()
+    connection, other = pair(loop)
+    other.setblocking(False)
+    reader = Connection(loop, other)
+
+    def read() -> Coroutine[None]:
+        while (yield from reader.receive(float("inf"))):
+            pass
+
+    loop.spawn(read(), "reader")
+    run(loop, connection.send(b"x" * 300_000, loop.now() + 2000.0))
+
+
 def test_a_listener_holds_back_what_is_too_much() -> None:
     loop, seen = Loop(), list[Connection]()
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -227,3 +227,60 @@
         driver.settle(number, 0, Outcome.CONNECT_FAILED)
     driver.until(2400.0)
     assert len(driver.of(api.Probe)) == 1
+
+
+def test_what_an_earlier_life_sent_counts_for_limit_and_window() -> None:
+    """Guards rule two across a restart: attempts and the first that may have run come with the message."""
+    for attempts, ran_at, cls, sent, last in (
+            (5, None, SAFE, 0, api.Refuse), (4, None, SAFE, 1, api.Send),
+            (1, -5000.0, KEYED, 0, api.Refuse), (1, -1000.0, KEYED, 1, api.Send),
+            (1, -1000.0, UNSAFE, 0, api.Fail), (1, None, UNSAFE, 1, api.Send)):
+        controller = Driver(settings()).controller
+        controller.handle(listed(line("a")), 0.0)
+        actions = controller.handle(api.NewMessage(
+            1, CLASSES.index(cls), 1, 12000.0, attempts=attempts, ran_at=ran_at), 0.0)
+        told = [action for action in actions if not isinstance(action, api.Wake)]
+        assert [type(action) for action in told] == [last], (attempts, ran_at, cls.name)
+        assert len([a for a in told if isinstance(a, api.Send)]) == sent
+
+
+def test_nothing_begins_once_the_process_is_closing() -> None:
+    driver = started(line("a"))
+    driver.feed(api.Closing(100.0))
+    message(driver, 1)
+    driver.settle(1, 0, Outcome.FULL)
+    driver.until(500.0)
+    message(driver, 2)
+    assert (sends(driver, 1), sends(driver, 2)) == (1, 0)
+
+
+def test_what_a_wait_holds_beyond_its_time_is_answered_at_once_with_the_wait() -> None:
+    """Guards clients against silence: held until its time is up, a message could not be handed in again."""
+    driver = started(line("a"), line("b"))
+    message(driver, 1)
+    message(driver, 2, SAFE)
+    message(driver, 3, KEYED)
+    driver.settle(1, 0, Outcome.FULL, wait=8000.0)
+    driver.settle(2, 0, Outcome.FULL, wait=1.0)
+    refused = {a.message: a.backoff_ms for a in driver.log if isinstance(a, api.Refuse)}
+    assert refused == {1: 2000.0, 2: 2000.0} and driver.now == 0.0
+    message(driver, 4)  # one that comes while the wait runs is answered as soon
+    assert isinstance(driver.log[-1], api.Refuse) and driver.log[-1].message == 4
+    driver.close()
+
+
+def test_a_pause_that_outlasts_the_window_is_no_reason_to_hold_a_message() -> None:
+    driver = started(line("a"))
+    message(driver, 1, KEYED)
+    driver.now = 4700.0  # the window ends at 4750, and the pause takes at least 225
+    driver.settle(1, 0, Outcome.ERROR)
+    assert isinstance(driver.log[-1], api.Refuse)
+
+
+def test_where_nothing_may_be_probed_an_unsafe_message_is_its_own_trial() -> None:
+    """Guards a destination that only unsafe messages are bound for against being given up for ever."""
+    driver = started(line("a"), may_probe=False)
+    message(driver, 1, UNSAFE)
+    driver.settle(1, 0, Outcome.CONNECT_FAILED)
+    driver.until(5000.0)
+    assert sends(driver, 1) == 2 and not driver.of(api.Probe)
