--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Everyday tasks. PYTHON makes the environment; the rest runs in it.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: build test lint run rehearse clean
+
+build: .venv/built
+
+.venv/built: pyproject.toml requirements.txt
+	test -d .venv || $(PYTHON) -m venv .venv
+	$(BIN)/pip -q install -e '.[dev]'
+	touch $@
+
+test: build
+	$(BIN)/pytest
+
+lint: build
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+run:
+	test -d .venv || ($(PYTHON) -m venv .venv && .venv/bin/pip -q install -r requirements.txt)
+	exec $(BIN)/python -m ashvale
+
+rehearse: build
+	$(BIN)/python -m ashvale.rehearsal
+
+clean:
+	rm -rf .venv .mypy_cache .pytest_cache .ruff_cache *.egg-info
--- a/ashvale/__init__.py
+++ b/ashvale/__init__.py
@@ -1,4 +1,4 @@
-"""ashvale: delivery decisions for a forwarder of outbound messages."""
+"""ashvale: a courier daemon; the module with its delivery decisions can be used alone."""
 
 from ashvale.control import Controller
 
--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -16,7 +16,7 @@
 
 from ashvale import config
 from ashvale.exchange import Exchange
-from ashvale.journal import Journal
+from ashvale.journal import Full, Journal
 from ashvale.net.loop import Loop, Task
 from ashvale.net.mail import MailCarrier, MailFront
 from ashvale.net.platform import Discovery, Notices, Pool, Server
@@ -65,27 +65,30 @@
         self.tasks: list[Task] = []
         self.server: Optional[Server] = None
         self.mail: Optional[MailFront] = None
+        # Half of the descriptors are for service clients, a quarter for idle connections to instances.
+        sockets = told.limits.sockets
+        mail_clients = sum(where.most for where in told.mail.listen) if told.mail else 0
         if told.platform is not None:
-            self._platform(told.platform, told.limits.sockets)
+            self._platform(told.platform, max(1, sockets // 2 - mail_clients), sockets // 8)
         if told.mail is not None:
-            self._mail(told.mail, told.limits.sockets)
+            self._mail(told.mail, sockets // 8)
         self.exchange.resume()
 
-    def _platform(self, front: config.Platform, sockets: int) -> None:
+    def _platform(self, front: config.Platform, clients: int, idle: int) -> None:
         notices = Notices(self.loop, front.discovery)
         notices.told = self.exchange.told
-        pool = Pool(self.loop, self.exchange, sockets // 4)
+        pool = Pool(self.loop, self.exchange, idle)
         discovery = Discovery(self.loop, self.exchange, front.discovery)
         discovery.known(front.known)
         self.exchange.carriers["platform"] = pool
-        self.server = Server(self.loop, self.exchange, front.listen, sockets // 2, notices)
+        self.server = Server(self.loop, self.exchange, front.listen, clients, notices)
         self.exchange.fronts["platform"] = self.server
         for steps, name in ((notices.run(), "notices"), (pool.sweep(), "pool"),
                             (discovery.run(), "discovery")):
             self.tasks.append(self.loop.spawn(steps, name))
 
-    def _mail(self, setup: config.Mail, sockets: int) -> None:
-        carrier = MailCarrier(self.loop, self.exchange, setup, sockets // 8)
+    def _mail(self, setup: config.Mail, idle: int) -> None:
+        carrier = MailCarrier(self.loop, self.exchange, setup, idle)
         self.exchange.carriers["mail"] = carrier
         carrier.announce()
         self.mail = MailFront(self.loop, self.exchange, setup)
@@ -133,7 +136,7 @@
     loop = Loop()
     try:
         courier = Courier(config.load(environ), loop)
-    except (config.ConfigError, OSError) as error:
+    except (config.ConfigError, Full, OSError) as error:
         log.error("cannot start", extra={"why": str(error)})
         return 2
     woken, wake = socket.socketpair()
--- a/ashvale/config.py
+++ b/ashvale/config.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import tomllib
 from collections.abc import Mapping
@@ -81,10 +82,15 @@
 
 
 def address(text: str, key: str, what: str = "config") -> tuple[str, int]:
-    """Split `host:port`."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ConfigError(f"{what}: key '{key}' is no address: '{text}'")
+    """Split `address:port`."""
+    host, _, port = text.rpartition(":")
+    try:
+        # A name would have to be looked up, which blocks, and there is nobody to ask.
+        ipaddress.ip_address(host.strip("[]"))
+        if not (port.isdigit() and int(port) < 65536):
+            raise ValueError
+    except ValueError:
+        raise ConfigError(f"{what}: key '{key}' is no address and port: '{text}'") from None
     return host.strip("[]"), int(port)
 
 
@@ -93,6 +99,8 @@
     file = Path(environ.get("ASHVALE_MAIL") or MAIL_FILE)
     root = read_toml(file) if file.exists() or "ASHVALE_MAIL" in environ else {}
     front = mail(root, file.name)
+    if front is not None and sum(where.most for where in front.listen) > SOCKETS // 2:
+        raise ConfigError(f"{file.name}: key 'connections' adds up to more than {SOCKETS // 2}")
     if environ.get("LB_CONFIG"):
         told = _platform(environ)
         return replace(told, mail=front, settings=with_mail(told.settings, front)) if front else told
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -116,6 +116,7 @@
         self._kinds = {k.name: number for number, k in enumerate(settings.kinds)}
         self._zones = {name: number for number, name in enumerate(settings.zones)}
         self._named: dict[str, int] = {}
+        self._left: set[str] = set()  # instances that the last whole list left out
         self._owed: dict[int, Entry] = {}            # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
         self._out: dict[int, Execution] = {}         # by message
@@ -203,7 +204,10 @@
         else:
             if self._ids.get((entry.front, entry.id)) is entry:
                 del self._ids[entry.front, entry.id]
-            self.journal.ended(entry)
+            try:
+                self.journal.ended(entry)
+            except Full as error:  # after a restart it would be told once more, which does no harm
+                log.error("end not written", extra={"id": entry.id, "why": str(error)})
 
     # The instances' side
 
@@ -214,8 +218,11 @@
             # Guards one carrier's instances against another's whole list, which says nothing of them.
             carriers = {instance.carrier for instance in told} or {"platform"}
             told += [i for i in self.instances.values() if i.carrier not in carriers]
-            names, busy = {i.name for i in told}, {e.instance.name for e in self._out.values()}
-            self.instances = {n: i for n, i in self.instances.items() if n in names or n in busy}
+            # What two whole lists leave out is forgotten; one is not enough, as the Controller has yet to
+            # hear of it and may still name it.
+            names = {i.name for i in told} | {e.instance.name for e in self._out.values()}
+            self.instances = {n: i for n, i in self.instances.items() if n in names or n not in self._left}
+            self._left = self.instances.keys() - names
         for instance in told:
             known = self.instances.get(instance.name)
             gone, instance = instance.gone, known if instance.gone and known else instance
@@ -271,8 +278,11 @@
         for event in events:
             if isinstance(event, api.NewMessage) and event.message not in self._owed:
                 continue  # withdrawn before its turn
-            for action in self.controller.handle(event, now):
-                self._carry_out(action, now, sends)
+            try:
+                for action in self.controller.handle(event, now):
+                    self._carry_out(action, now, sends)
+            except Exception:  # guards the other messages against a fault that one event brings to light
+                log.exception("event failed", extra={"kind": type(event).__name__})
         for executions in sends.values():
             for execution in executions:
                 self._begin(execution)
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -159,7 +159,11 @@
     def _room(self, wanted: int) -> None:
         """Guards the disk limit: old and new file must fit together when the journal is next rewritten."""
         if self._size + wanted + self._live > self._budget:
-            self._rewrite()
+            try:
+                self._rewrite()
+            except OSError as error:
+                self._new.unlink(missing_ok=True)
+                raise Full(f"the journal cannot be rewritten: {error}") from error
 
     def _write(self, data: bytes) -> None:
         """Append whole records or nothing: half a record would hide all that follow it."""
@@ -172,8 +176,12 @@
 
     def _rewrite(self) -> None:
         file = os.open(self._new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-        size = _write_all(file, b"".join(_frame(TAKEN, entry.pack()) for entry in self.entries.values()))
-        os.replace(self._new, self._path)
+        try:
+            size = _write_all(file, b"".join(_frame(TAKEN, entry.pack()) for entry in self.entries.values()))
+            os.replace(self._new, self._path)
+        except OSError:
+            os.close(file)
+            raise
         if self._file >= 0:
             os.close(self._file)
         self._file, self._size = file, size
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -231,6 +231,8 @@
     def _drop(self, count: int) -> None:
         self._size -= count
         self._head = (self._head + count) % len(self._data) if self._size else 0
+        if not self._size and len(self._data) > 4 * RING_START:
+            self._data = bytearray(RING_START)  # guards memory: many connections once had a large message
 
     def append(self, data: bytes | memoryview) -> int:
         """Put in as much as fits; return how much that was."""
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -19,7 +19,7 @@
 import h11
 
 from ashvale import interface as api
-from ashvale.config import ConfigError, get
+from ashvale.config import ConfigError, address, get
 from ashvale.exchange import DELIVERED, RETURNED, Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
@@ -102,13 +102,14 @@
 
 def decode_host(data: Any) -> Instance:
     """One line of discovery's list."""
-    dial = get(data, "dial", str, "", "host")
-    host, _, port = dial.rpartition(":")
+    try:
+        where = address(get(data, "dial", str, "", "host"), "dial", "host")
+    except ConfigError:  # one line that cannot be used must not cost the others
+        where = "0.0.0.0", 0
     state = get(data, "health", str, what="host")
     return Instance(
         name=get(data, "host", str, what="host"), dest=str(get(data, "block", int, 0, "host")),
-        address=(host.strip("[]"), int(port) if port.isdigit() else 0),
-        kind=get(data, "class", str, "", "host"), zone=get(data, "site", str, "", "host"),
+        address=where, kind=get(data, "class", str, "", "host"), zone=get(data, "site", str, "", "host"),
         ready=state == "SERVING", gone=state == "DELETED",
         rate=get(data, "share", float, 0.0, "host"), born_ms=get(data, "born_ms", float, 0.0, "host"))
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -151,6 +151,7 @@
         self.settings = {key: {**value, **changes.pop(key, {})} if isinstance(value, dict) else value
                          for key, value in SETTINGS.items()} | changes
         self.numbers = 0
+        self.environ: dict[str, str] = {}
 
     def endpoint(self, *script: bytes | str, block: int = 1, kind: str = "direct") -> Endpoint:
         endpoint = Endpoint(self.loop, *script)
@@ -167,7 +168,7 @@
             "known": self.discovery.whole()}))
         self.courier = Courier(config.load({
             "LB_CONFIG": str(file), "LB_STATE": str(self.folder), "LB_LISTEN": f"{HERE}:0",
-            "LB_DISCOVERY": f"{HERE}:{port}"}), self.loop)
+            "LB_DISCOVERY": f"{HERE}:{port}", **self.environ}), self.loop)
         return self.courier
 
     def again(self) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -48,7 +48,7 @@
     ("size = 20000", "size = 999999999", "key 'size' is 999999999, at most"),
     ("size = 20000", "sise = 20000", "limits: unknown key 'sise'"),
     ('protocol = "smtp"', 'protocol = "uucp"', "listen 1: key 'protocol' is 'uucp', one of smtp, lmtp"),
-    ('address = "127.0.0.1:0"', 'address = "here"', "listen 1: key 'address' is no address: 'here'"),
+    ('address = "127.0.0.1:0"', 'address = "here"', "listen 1: key 'address' is no address and port: 'here'"),
     ('repeat = "never"', 'repeat = "keyed"', "class 1: key 'repeat' is 'keyed', one of safe, never"),
     ("aim_ms = 2000", "aim = 2000", "class 1: unknown key 'aim'"),
     ('class = "usage-record"', 'class = "usage"', "recipient 1: key 'class' is 'usage'"),
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -21,8 +21,10 @@
     Partner,
     Stage,
     run,
+    set_up,
     staged,
 )
+from tests.stage import scene
 
 SENDER, FROM = "x@home.example", "MAIL FROM:<x@home.example>"
 
@@ -285,6 +287,25 @@
         assert reply.startswith("451") and mail.wait_in(reply) > 0
 
 
+def test_both_fronts_share_one_exchange_and_journal() -> None:
+    with scene() as s:
+        partner = Partner(s.loop)
+        file = s.folder / "mail.toml"
+        file.write_text(set_up(partner.address[1]))
+        endpoint = s.endpoint()
+        s.environ["ASHVALE_MAIL"] = str(file)
+        courier = s.start()
+        s.rest(100.0)  # discovery's whole list has come, and does not name mail's instances
+        assert courier.mail is not None
+        client = Client(s.loop, courier.mail.listeners[0].address)
+        assert codes(run(s.loop, client.send(SENDER, [USAGE], MESSAGE))) == ["250"]
+        assert s.hand_in("usage-record")[1].startswith(b"HTTP/1.1 202")
+        assert s.hand_in("mail/usage-record")[1].startswith(b"HTTP/1.1 404")
+        s.until(lambda: courier.exchange.idle)
+        assert len(endpoint.calls) == 1 and len(partner.deliveries) == 1
+        partner.close()
+
+
 def test_a_courier_that_leaves_says_so() -> None:
     with staged(Partner) as (loop, _, stage):
         client = opened(loop, stage)
