--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -28,3 +28,10 @@
     for block in blocks:
         exec(compile(block, "README.md", "exec"), {})
     assert "message 1 goes to a:4430" in capsys.readouterr().out
+
+
+def test_ci_finds_the_test_command_in_the_readme() -> None:
+    """Guards against a fence that CI's own reading takes for the end of the block: it would run no test."""
+    text = (ROOT / "README.md").read_text().split("<!-- tests -->\n", 1)[1]
+    block = re.match(r"```sh\n(.+?)```\n", text, re.S)
+    assert block and "pytest" in block[1].split("\n")
