Hold back what a wait has overtaken while its connection came up

Found by reading: an execution that the Controller begins before it hears of a wait is written once its connection is up, which may take a second, and so may arrive in the midst of the wait (Pool._converse, MailCarrier._converse). Carriers now ask Exchange.silenced right before they write; what is held back ends as moot, which never ran. The new test, with a connection that takes 300 ms, fails without the guard.

--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -116,6 +116,7 @@
         self._kinds = {k.name: number for number, k in enumerate(settings.kinds)}
         self._zones = {name: number for number, name in enumerate(settings.zones)}
         self._named: dict[str, int] = {}
+        self._silent: dict[str, tuple[float, float]] = {}  # told waits, by route: told at, until
         self._left: set[str] = set()  # instances that the last whole list left out
         self._owed: dict[int, Entry] = {}            # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
@@ -246,13 +247,31 @@
         self._journal_outcome(entry, outcome)
         if outcome is Outcome.OK or over:
             self._decide(entry, over or DELIVERED)
-        took = self.loop.now() - execution.sent
+        now = self.loop.now()
+        took = now - execution.sent
+        if wait_ms > 0:
+            route = self._route(execution.instance)
+            self._silent[route] = now, max(now + wait_ms, self._silent.get(route, (0.0, 0.0))[1])
         log.debug("execution", extra={
             "id": entry.id, "attempt": attempt, "instance": execution.instance.name, "outcome": outcome.value,
             "took": round(took), "wait": wait_ms})
         self._post(api.Settled(entry.number, attempt, execution.instance.name.encode(), outcome, took,
                                finished, wait_ms, no_slot))
 
+    def silenced(self, execution: Execution) -> bool:
+        """Tell whether a wait was told since the execution began, and still runs.
+
+        Carriers ask before they write. Guards the rule on waits where a connection takes long to come up:
+        what the Controller sent before it heard of the wait would arrive in the midst of it.
+        """
+        told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
+        return execution.sent <= told and self.loop.now() < until
+
+    def _route(self, instance: Instance) -> str:
+        """What shares a wait: a destination, or one instance where its kind has routes apart."""
+        apart = self.settings.kinds[self._kinds.get(instance.kind, 0)].routes_apart
+        return f"instance {instance.name}" if apart else f"destination {instance.dest}"
+
     def _journal_outcome(self, entry: Entry, outcome: Outcome) -> None:
         try:
             self.journal.outcome(entry, outcome.never_ran)
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -27,7 +27,7 @@
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.net.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, Signal
-from ashvale.net.pool import Carrier
+from ashvale.net.pool import Carrier, Silenced
 
 LINE_MOST, TEXT_MOST = 2048, 64 * 1024  # longest command and longest line of a message that are read
 REPLY_MS = 10000.0    # a client has this long to take a reply
@@ -436,9 +436,12 @@
         words = (text.split(None, 1) for text in texts[1:])
         self.extensions = {w[0].upper(): w[1] if len(w) > 1 else "" for w in words if w}
 
-    def deliver(self, sender: str, recipients: list[str], body: bytes,
-                until: float) -> Coroutine[list[tuple[int, str]]]:
-        """One transaction; the replies to its final dot: one, or with LMTP one for each recipient."""
+    def deliver(self, sender: str, recipients: list[str], body: bytes, until: float,
+                check: Callable[[], None]) -> Coroutine[list[tuple[int, str]]]:
+        """One transaction; the replies to its final dot: one, or with LMTP one for each recipient.
+
+        `check` raises where the transaction is not to go on, and is asked before each thing that is said.
+        """
         self.reusable_now = self.written = False
         parameters, plain, size = "", body.isascii(), self.extensions.get("SIZE", "")
         if "SIZE" in self.extensions:
@@ -450,9 +453,12 @@
         if size.isdigit() and 0 < int(size) < len(body):
             raise Declined(552, "the server takes no message of that size")
         lines = [f"MAIL FROM:<{sender}>{parameters}", *(f"RCPT TO:<{one}>" for one in recipients)]
+        check()
         yield from self._agree(lines, until)
+        check()
         yield from self._say("DATA", until)
         yield from self.expect(399, until)
+        check()
         yield from self.connection.send(stuffed(body), until)
         self.written = True
         answers = []
@@ -517,16 +523,22 @@
                 connection = yield from self._connect(execution)
                 client = MailClient(connection, self._lmtp[execution.instance.name], self.setup.hostname)
                 yield from client.greet(until)
-            answers = yield from client.deliver(envelope["from"], envelope["to"], entry.body, until)
+            answers = yield from client.deliver(
+                envelope["from"], envelope["to"], entry.body, until, lambda: self._check(execution))
             outcome, wait, over = verdict(answers)
         except Declined as error:
             outcome, wait, over = judge(error.code, error.text, error.early)
+        except Silenced:  # cut short, which undoes a transaction whatever it has come to
+            outcome = Outcome.MOOT
+            if client is not None:
+                client.connection.close()
         except (Broken, Expired) as error:
             log.debug("execution broke", extra={"instance": execution.instance.name, "why": str(error)})
             if client is not None and client.written:  # the dot was sent: it may have taken effect
                 outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
         self.exchange.report(execution, entry, outcome, wait, over)
-        if client is not None and outcome in (Outcome.FULL, Outcome.MOOT) and not client.reusable_now:
+        if client is not None and outcome in (Outcome.FULL, Outcome.MOOT) and not (
+                client.reusable_now or client.connection.closed):
             try:
                 yield from client.reset(self.loop.now() + self.exchange.settings.connect_timeout_ms)
             except (Broken, Expired, Declined):
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -36,7 +36,7 @@
     connect,
     sleep,
 )
-from ashvale.net.pool import Carrier
+from ashvale.net.pool import Carrier, Silenced
 
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
 REQUEST_MS = 5000.0       # a service client has this long for one request
@@ -424,7 +424,10 @@
         try:
             if client is None:
                 client = HttpClient((yield from self._connect(execution)), instance.address)
+            self._check(execution)
             yield from self._ask(client, execution, reply)
+        except Silenced:
+            outcome = Outcome.MOOT
         except Expired:
             outcome = Outcome.TIMEOUT if reply.written else Outcome.CONNECT_FAILED
         except Broken as error:
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -20,6 +20,10 @@
 log = logging.getLogger(__name__)
 
 
+class Silenced(Exception):
+    """The destination has told a wait since the execution began: it is not to be written."""
+
+
 class Client(Protocol):
     """The requesting side of a connection, whatever it speaks."""
 
@@ -97,6 +101,11 @@
                 if connection is not None and (client is None or connection is not client.connection):
                     connection.close()
 
+    def _check(self, execution: Execution) -> None:
+        """To be called right before a message is written."""
+        if self.exchange.silenced(execution):
+            raise Silenced
+
     def _connect(self, execution: Execution) -> Coroutine[Connection]:
         limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms)
         connection = yield from connect(self.loop, execution.instance.address, limit)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,7 +6,8 @@
 
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
-from ashvale.net import platform
+from ashvale.net import platform, pool
+from ashvale.net.loop import Address, Connection, Coroutine, Loop, connect, sleep
 from ashvale.rehearsal import DROP, STALL
 from tests.stage import answer, batch_ids, request, scene
 
@@ -124,6 +125,26 @@
         assert calls[1] - calls[0] >= 600.0
 
 
+def test_a_wait_told_while_a_connection_comes_up_holds_back_what_was_to_use_it(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the rule on waits against calls that were sent before, and would be written in their midst."""
+    slow = [0.0, 300.0]
+
+    def late(loop: Loop, address: Address, until: float) -> Coroutine[Connection]:
+        yield from sleep(loop, slow.pop(0) if slow else 0.0)
+        return (yield from connect(loop, address, until))
+
+    monkeypatch.setattr(pool, "connect", late)
+    with scene() as s:
+        one, two = s.endpoint(answer(429, X_Come_Back_Ms=900)), s.endpoint(answer(429, X_Come_Back_Ms=900))
+        s.start()
+        for number in range(2):
+            s.hand_in(id=f"m{number}")
+        s.until(lambda: s.courier.exchange.idle)
+        first, *rest = sorted(call.at for call in one.calls + two.calls)
+        assert len(rest) >= 2 and rest[0] - first >= 900.0 and not s.discovery.notices
+
+
 @pytest.mark.parametrize(("cls", "script", "sends"), [
     ("rate-update", DROP, 2), ("usage-record", DROP, 2), ("rate-update", answer(500), 2),
     ("usage-record", b"HTTP/1.1 200 OK\r\nContent-", 1), ("usage-record", b"HTTP/1.1 2", 2)])
