Give up at once what a limited partner cannot serve in its time

At fault: control.py gave a message up only by its own time (_expire) or the holding limit (_shed). A queue longer than its ring serves until the last deadline now gives up, on each arrival, the message that earns least (_thin).

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -185,6 +185,7 @@
             m.maybe_ran = (event.ran_at, event.ran_zone)
             self._later(event.ran_at + 0.95 * cls.window_ms, m.dest, m.id)
         self._expire(m, now)
+        self._thin(m.dest, now)
         self._shed(now)
 
     def _weight(self, event: api.NewMessage, now: float) -> float:
@@ -227,6 +228,18 @@
         if waiting := [m for m in full if not (m.out or m.done) and self._may_refuse(m)]:
             self._give_up(min(waiting, key=lambda m: worth_at(m, now + self._drain(m.dest))), now)
 
+    def _thin(self, dest: int, now: float) -> None:
+        """Give up at once the message that earns least where more wait than can be served in their time."""
+        # Guards clients against a queue that its limit cannot drain: some of it would only be held until its
+        # time is up, when handing it in again is of no use any more.
+        queue, lanes = self.dests[dest].queue, [e.lane for e in self.dests[dest].endpoints if e.ready]
+        if not (queue and lanes) or (n := lanes[0].n) is None:
+            return
+        left = max(m.deadline for m in queue) - max(now, self._blocked(dest))
+        served = max(1.0, n * left / WINDOW_MS) * self.dests[dest].endpoints[0].kind.per_call
+        if len(queue) > served and (waiting := [m for m in queue if not m.out and self._may_refuse(m)]):
+            self._give_up(min(waiting, key=lambda m: worth_at(m, now + self._drain(dest))), now)
+
     def _drain(self, dest: int) -> float:
         """Return about how long this destination's queue takes; at least a second."""
         size = next((e.lane.n for e in self.dests[dest].endpoints if e.lane.n), 1.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -284,3 +284,14 @@
     driver.settle(1, 0, Outcome.CONNECT_FAILED)
     driver.until(5000.0)
     assert sends(driver, 1) == 2 and not driver.of(api.Probe)
+
+
+def test_what_a_limit_cannot_serve_in_time_is_answered_when_it_comes() -> None:
+    """Guards clients against a queue that is held until its time is up, when no other try is of use."""
+    driver = started(line("a", rate=1.0), listed_rates=True)  # two calls in a window of two seconds
+    for number in range(1, 21):
+        message(driver, number)
+    refused = [a.message for a in driver.log if isinstance(a, api.Refuse)]
+    waiting = [n for n, owed in driver.owed.items() if not (owed.answered or owed.attempts)]
+    assert driver.now == 0.0 and len(waiting) == 6 and len(refused) == 12  # six seconds serve six
+    driver.close()
