--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import sys
-import time
 from collections.abc import Mapping
 from typing import Any, Optional
 
@@ -95,6 +94,12 @@
         self.exchange.fronts["mail"] = self.mail
         self.tasks.append(self.loop.spawn(carrier.sweep(), "mail pool"))
 
+    def addresses(self) -> dict[str, str]:
+        """Where each front listens."""
+        fronts = [self.server.listener] if self.server else []
+        fronts += self.mail.listeners if self.mail else []
+        return {f"listen_{front.name}": f"{front.address[0]}:{front.address[1]}" for front in fronts}
+
     def leave(self) -> None:
         """Serve through the handover, deliver what can be delivered, and end."""
         if self.leaving:
@@ -151,7 +156,7 @@
         courier.leave()
 
     loop.watch(woken.fileno(), 1, signalled)
-    log.info("serving", extra={"pid": os.getpid(), "since": round(time.time(), 3)})
+    log.info("serving", extra={"pid": os.getpid(), **courier.addresses()})
     loop.run()
     log.info("ended", extra={"owed": len(courier.exchange.journal.entries)})
     return 0
