Keep a told wait whatever outcome it comes with

Found by reading PROTOCOL's words on batches: a wait may stand in an answer that says delivered. Pool._settle passed it on with refusals only, and _learn in control.py read it there only.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -400,6 +400,8 @@
         lane, outcome = e.lane, event.outcome
         if event.report.get("x1", 0.0) > 0:
             self._told(lane, event.report["x1"])
+        if event.wait_ms > 0 and outcome is not Outcome.FULL:  # told beside another outcome it binds as well
+            lane.blocked_until = max(lane.blocked_until, now + event.wait_ms + 1.0)
         if outcome is Outcome.OK:
             lane.latencies.append(event.took_ms)
             lane.usual = sum(lane.latencies) / len(lane.latencies)
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -460,8 +460,7 @@
         for entry in execution.parts:
             end = reply.status if ends is None else ends.get(entry.id, "")
             outcome, over = outcome_of(end, busy)
-            told = wait if outcome is Outcome.FULL else 0.0
-            self.exchange.report(execution, entry, outcome, told, over, outcome is Outcome.MOOT and busy)
+            self.exchange.report(execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy)
         return True
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -125,6 +125,20 @@
         assert calls[1] - calls[0] >= 600.0
 
 
+@pytest.mark.parametrize("status", [200, 500])
+def test_a_wait_binds_whatever_outcome_it_is_told_with(status: int) -> None:
+    """Guards the rule on waits where a batch's answer tells one beside messages that were delivered."""
+    with scene() as s:
+        endpoint = s.endpoint(answer(status, X_Come_Back_Ms=700))
+        s.start()
+        s.hand_in()
+        s.until(lambda: len(endpoint.calls) == 1 and endpoint.out == 0)
+        s.rest(30.0)
+        s.hand_in()
+        s.until(lambda: s.courier.exchange.idle)
+        assert endpoint.calls[1].at - endpoint.calls[0].at >= 700.0
+
+
 def test_a_wait_told_while_a_connection_comes_up_holds_back_what_was_to_use_it(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards the rule on waits against calls that were sent before, and would be written in their midst."""
