Read the configuration anew on SIGHUP, and see clients and answers as they are

Causes: __main__ left SIGHUP to its own way. Listener._accept stopped at its limit and idle connections stayed 75 s. The server took messages for any destination, and a request with both framings.

Now SIGHUP reads the file, checks all of it and moves discovery, notices, limits, settings and the mail front, or logs why not and keeps the old. The connection that has rested longest makes room for a new one. A call's connection is used again only with nothing left behind the answer; a refusal counts once whole. Unknown destinations, both framings at once and ids of messages that are over are not taken on.

--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any, Optional
 
 from ashvale import config
@@ -58,41 +59,85 @@
     """One running courier."""
 
     def __init__(self, told: config.Config, loop: Loop) -> None:
-        self.loop = loop
+        self.loop, self.told = loop, told
         self.exchange = Exchange(loop, told.settings, told.seed, Journal(told.state, told.limits.disk_bytes))
         self.leaving = False
         self.tasks: list[Task] = []
         self.server: Optional[Server] = None
+        self.discovery: Optional[Discovery] = None
         self.mail: Optional[MailFront] = None
-        # Half of the descriptors are for service clients, a quarter for idle connections to instances.
-        sockets = told.limits.sockets
-        mail_clients = sum(where.most for where in told.mail.listen) if told.mail else 0
         if told.platform is not None:
-            self._platform(told.platform, max(1, sockets // 2 - mail_clients), sockets // 8)
+            self._platform(told.platform)
         if told.mail is not None:
-            self._mail(told.mail, sockets // 8)
+            self._mail_front(told.mail)
+            self._mail_carrier(told.mail)
+        self._share(told)
         self.exchange.resume()
 
-    def _platform(self, front: config.Platform, clients: int, idle: int) -> None:
-        notices = Notices(self.loop, front.discovery)
-        notices.told = self.exchange.told
-        pool = Pool(self.loop, self.exchange, idle)
-        discovery = Discovery(self.loop, self.exchange, front.discovery)
-        discovery.known(front.known)
-        self.exchange.carriers["platform"] = pool
-        self.server = Server(self.loop, self.exchange, front.listen, clients, notices)
+    def _platform(self, front: config.Platform) -> None:
+        self.notices = Notices(self.loop, front.discovery)
+        self.notices.told = self.exchange.told
+        self.pool = Pool(self.loop, self.exchange, 1)
+        self.discovery = Discovery(self.loop, self.exchange, front.discovery)
+        self.discovery.known(front.known)
+        self.exchange.carriers["platform"] = self.pool
+        self.server = Server(self.loop, self.exchange, front.listen, 1, self.notices)
         self.exchange.fronts["platform"] = self.server
-        for steps, name in ((notices.run(), "notices"), (pool.sweep(), "pool"),
-                            (discovery.run(), "discovery")):
+        for steps, name in ((self.notices.run(), "notices"), (self.pool.sweep(), "pool"),
+                            (self.discovery.run(), "discovery")):
             self.tasks.append(self.loop.spawn(steps, name))
 
-    def _mail(self, setup: config.Mail, idle: int) -> None:
-        carrier = MailCarrier(self.loop, self.exchange, setup, idle)
-        self.exchange.carriers["mail"] = carrier
-        carrier.announce()
+    def _mail_front(self, setup: config.Mail) -> None:
         self.mail = MailFront(self.loop, self.exchange, setup)
         self.exchange.fronts["mail"] = self.mail
-        self.tasks.append(self.loop.spawn(carrier.sweep(), "mail pool"))
+
+    def _mail_carrier(self, setup: config.Mail) -> None:
+        self.carrier = MailCarrier(self.loop, self.exchange, setup, 1)
+        self.exchange.carriers["mail"] = self.carrier
+        self.carrier.announce()
+        self.tasks.append(self.loop.spawn(self.carrier.sweep(), "mail pool"))
+
+    def _share(self, told: config.Config) -> None:
+        """Half of the descriptors are for service clients, a quarter for idle connections to instances."""
+        sockets = told.limits.sockets
+        mail_clients = sum(where.most for where in told.mail.listen) if told.mail else 0
+        if self.server is not None:
+            self.server.listener.most = max(1, sockets // 2 - mail_clients)
+            self.pool.most_idle = sockets // 8
+        if self.mail is not None:
+            self.carrier.most_idle = sockets // 8
+
+    def configure(self, told: config.Config) -> None:
+        """Put another configuration in force, all of it or, where it cannot be used, nothing.
+
+        Where the platform's front listens, the folder of the journal and the seed stay until the next start.
+        """
+        if (told.platform is None) is not (self.server is None):
+            raise config.ConfigError("config: the platform's front cannot come or go while the process runs")
+        mail = told.mail or self.told.mail and replace(self.told.mail, listen=(), instances=())
+        mail = self.told.mail if self.leaving else mail
+        if mail is not None:  # raises where it cannot listen, before anything has changed
+            self._mail_front(mail) if self.mail is None else self.mail.configure(mail)
+        self.exchange.configure(told.settings)
+        if mail is not None:
+            self._mail_carrier(mail) if self.told.mail is None else self.carrier.configure(mail)
+        if told.platform is not None and self.discovery is not None:
+            self.discovery.move(told.platform.discovery)
+            self.notices.channel.move(told.platform.discovery)
+        self.exchange.journal.limit(told.limits.disk_bytes)
+        self.told = replace(told, mail=mail)
+        self._share(self.told)
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Read the configuration anew; what cannot be used is logged, and the old one stays in force."""
+        try:
+            told = config.load(environ, anew=True)
+            self.configure(told)
+        except (config.ConfigError, OSError) as error:
+            log.error("configuration not used", extra={"why": str(error)})
+        else:
+            where = told.platform.discovery if told.platform else ("none", 0)
+            log.info("configuration read anew", extra={"discovery": f"{where[0]}:{where[1]}"})
 
     def addresses(self) -> dict[str, str]:
         """Where each front listens."""
@@ -139,21 +184,24 @@
 def main(environ: Mapping[str, str]) -> int:
     set_up_log(environ.get("ASHVALE_LOG", "INFO").upper())
     loop = Loop()
-    try:
-        courier = Courier(config.load(environ), loop)
-    except (config.ConfigError, Full, OSError) as error:
-        log.error("cannot start", extra={"why": str(error)})
-        return 2
     woken, wake = socket.socketpair()
     for end in (woken, wake):
         end.setblocking(False)
     signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # SIGHUP's own way would end the process
         signal.signal(number, lambda *_: None)
+    try:
+        courier = Courier(config.load(environ), loop)
+    except (config.ConfigError, Full, OSError) as error:
+        log.error("cannot start", extra={"why": str(error)})
+        return 2
 
     def signalled(_mask: int) -> None:
-        woken.recv(64)
-        courier.leave()
+        numbers = woken.recv(64)
+        if signal.SIGHUP in numbers:
+            courier.reload(environ)
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            courier.leave()
 
     loop.watch(woken.fileno(), 1, signalled)
     log.info("serving", extra={"pid": os.getpid(), **courier.addresses()})
--- a/ashvale/config.py
+++ b/ashvale/config.py
@@ -94,15 +94,18 @@
     return host.strip("[]"), int(port)
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read all that one courier is told: by the platform, by the mail front's file, or by both."""
+def load(environ: Mapping[str, str], anew: bool = False) -> Config:
+    """Read all that one courier is told: by the platform, by the mail front's file, or by both.
+
+    Read `anew` by a running process, the file's `discovery` overrules the environment, which cannot change.
+    """
     file = Path(environ.get("ASHVALE_MAIL") or MAIL_FILE)
     root = read_toml(file) if file.exists() or "ASHVALE_MAIL" in environ else {}
     front = mail(root, file.name)
     if front is not None and sum(where.most for where in front.listen) > SOCKETS // 2:
         raise ConfigError(f"{file.name}: key 'connections' adds up to more than {SOCKETS // 2}")
     if environ.get("LB_CONFIG"):
-        told = _platform(environ)
+        told = _platform(environ, anew)
         return replace(told, mail=front, settings=with_mail(told.settings, front)) if front else told
     if front is None:
         raise ConfigError("environment: key 'LB_CONFIG' is missing, and the mail front is off")
@@ -130,14 +133,15 @@
     return Path(folder)
 
 
-def _platform(environ: Mapping[str, str]) -> Config:
+def _platform(environ: Mapping[str, str], anew: bool) -> Config:
     try:
         root = parse(Path(environ["LB_CONFIG"]).read_bytes(), "config")
     except OSError as error:
         raise ConfigError(f"environment: key 'LB_CONFIG': {error}") from None
     limits = get(root, "limits", dict, {}, "config")
     listen = environ.get("LB_LISTEN") or get(root, "listen", str, what="config")
-    discovery = environ.get("LB_DISCOVERY") or get(root, "discovery", str, what="config")
+    discovery = "" if anew and "discovery" in root else environ.get("LB_DISCOVERY", "")
+    discovery = discovery or get(root, "discovery", str, what="config")
     seed = get(root, "seed", str, "0", "config")
     try:
         number = int(seed, 16)
@@ -146,8 +150,8 @@
     return Config(
         name=environ.get("LB_NAME") or get(root, "name", str, "courier", "config"),
         state=_state(environ.get("LB_STATE", "")), seed=number,
-        limits=Limits(get(limits, "sockets", int, SOCKETS, "config: limits"),
-                      int(get(limits, "disk_mb", float, float(DISK_MB), "config: limits") * 1_000_000)),
+        limits=Limits(_least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
+                      int(_least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6)),
         settings=settings(get(root, "settings", dict, what="config")),
         platform=Platform(address(listen, "listen"), address(discovery, "discovery"),
                           get(root, "known", dict, {}, "config")))
@@ -168,12 +172,20 @@
 def _kinds(root: Any, info: Any) -> tuple[api.Kind, ...]:
     names = get(root, "models", list, [])
     calls, apart = get(info, "per_call", list, []), get(info, "routes_apart", list, [])
+    if not all(isinstance(most, int) and most > 0 for most in calls):
+        raise ConfigError("settings: key 'per_call' holds other than whole numbers above nought")
     count = max(len(names), len(calls), len(apart), 1)
     return tuple(
         api.Kind(str(names[i]) if i < len(names) else "", int(calls[i]) if i < len(calls) else 1,
                  bool(apart[i]) if i < len(apart) else False) for i in range(count))
 
 
+def _fees(values: list[Any]) -> tuple[float, ...]:
+    if not all(isinstance(fee, (int, float)) for fee in values):
+        raise ConfigError("settings: key 'zone_fee' holds other than numbers")
+    return tuple(map(float, values))
+
+
 def settings(root: Any) -> api.Settings:
     """Translate the start-up settings; unknown keys are ignored."""
     limits, rules = get(root, "limits", dict), get(root, "contract", dict)
@@ -197,7 +209,7 @@
         report_fields=tuple(str(name) for name in get(report, "fields", list, [])),
         fades_linear=get(info, "fades", str, "linear") == "linear",
         over_share_worth=get(root, "over_share_worth", float, 1.0), zone=get(root, "zone", int, 0),
-        zone_fees=tuple(float(fee) for fee in get(info, "zone_fee", list, [])),
+        zone_fees=_fees(get(info, "zone_fee", list, [])),
         zones=tuple(str(name) for name in get(root, "zones", list, [])),
         calls_per_connection=get(limits, "streams_per_conn", int, 1),
         keepalive_ms=get(limits, "keepalive_ms", float, 15000.0),
--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -103,12 +103,23 @@
             self.wake_at = 1e18
         elif isinstance(event, api.Closing):
             self.closing_at = event.at
+        elif isinstance(event, api.Configured):
+            self._configured(event.settings)
         self._come_due(now)
         if now >= self.calm_at:
             self._dispatch(now)
         self._sleep(now)
         return self.actions
 
+    def _configured(self, settings: api.Settings) -> None:
+        """Go on with other settings; all that was learned of destinations stays."""
+        known = {t.name: spent for t, spent in zip(self.s.tenants, self.spent, strict=True)}
+        self.s, kinds = settings, {kind.name: kind for kind in settings.kinds}
+        self.spent = [known.get(t.name, (0.0, 0.0)) for t in settings.tenants]
+        self.first_ms = min(TRIAL_MS[1], TRIAL_MS[0] * settings.forwarders)
+        for e in self.endpoints.values():
+            e.kind, self.dirty[e.dest] = kinds.get(e.kind.name, e.kind), None
+
     def _later(self, at: float, dest: int, message: int = -1) -> None:
         """Look at a destination, or at a message, when this time comes."""
         self.count += 1
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -23,6 +23,7 @@
 from ashvale.net.loop import Loop
 
 NACK_MS = 500.0         # when to come back after a refusal at the door
+SERVED_MOST = 4096      # destinations kept in mind
 NAMED_FROM = 1 << 20    # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
 log = logging.getLogger(__name__)
@@ -106,18 +107,17 @@
     """Holds what was taken on until its end has been told."""
 
     def __init__(self, loop: Loop, settings: api.Settings, seed: int, journal: Journal) -> None:
-        self.loop, self.settings, self.journal = loop, settings, journal
+        self.loop, self.journal = loop, journal
         self.controller = Controller(settings, seed)
         self.fronts: dict[str, Front] = {}
         self.carriers: dict[str, Carrier] = {}
         self.instances: dict[str, Instance] = {}
-        self._classes = {c.name: number for number, c in enumerate(settings.classes)}
-        self._tenants = {t.name: number for number, t in enumerate(settings.tenants)}
-        self._kinds = {k.name: number for number, k in enumerate(settings.kinds)}
-        self._zones = {name: number for number, name in enumerate(settings.zones)}
+        self._use(settings)
         self._named: dict[str, int] = {}
         self._silent: dict[str, tuple[float, float]] = {}  # told waits, by route: told at, until
         self._left: set[str] = set()  # instances that the last whole list left out
+        self.listed = False  # a whole list was told in this life of the process
+        self._served: dict[str, None] = {}  # destinations that were ever listed, the latest last
         self._owed: dict[int, Entry] = {}            # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
         self._out: dict[int, Execution] = {}         # by message
@@ -125,6 +125,19 @@
         self._due = self.halted = False
         self._wall = time.time() * 1000.0 - loop.now()
 
+    def _use(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self._classes = {c.name: number for number, c in enumerate(settings.classes)}
+        self._tenants = {t.name: number for number, t in enumerate(settings.tenants)}
+        self._kinds = {k.name: number for number, k in enumerate(settings.kinds)}
+        self._zones = {name: number for number, name in enumerate(settings.zones)}
+
+    def configure(self, settings: api.Settings) -> None:
+        """Put other settings in force. What was taken on stays owed, under the class it came with."""
+        self._turn()  # guards the events gathered so far: the numbers in them are of the old settings
+        self._use(settings)
+        self._post(api.Configured(settings), at_once=True)
+
     # Clocks and names
 
     def wall(self, at: float) -> float:
@@ -140,6 +153,10 @@
     def message_class(self, name: str) -> Optional[api.MessageClass]:
         return self.settings.classes[self._classes[name]] if name in self._classes else None
 
+    def serves(self, dest: str) -> bool:
+        """Tell whether a destination was ever listed: its instances may come and go."""
+        return dest in self._served
+
     def _dest(self, name: str) -> int:
         return int(name) if name.isdigit() else self._named.setdefault(name, NAMED_FROM + len(self._named))
 
@@ -149,6 +166,9 @@
         """Take up what an earlier life left; call once fronts and carriers are in place."""
         now = self.loop.now()
         for entry in list(self.journal.entries.values()):
+            if entry.front not in self.fronts:  # stays written down for a start with that front
+                log.error("front no longer configured", extra={"id": entry.id, "front": entry.front})
+                continue
             self._ids[entry.front, entry.id] = entry
             if entry.state:
                 self._tell(entry)
@@ -168,6 +188,8 @@
         """Write the message down and hold it, or refuse it at the door."""
         if (known := self.find(command.front, command.id)) is not None:
             return known  # guards against a second life for a command that a client sent once more
+        if command.cls not in self._classes:  # the settings changed since its front looked it up
+            return Nack(NACK_MS, "no such class any more")
         if len(self._owed) >= self.settings.max_open:
             return Nack(NACK_MS, "too many messages held")
         entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
@@ -215,6 +237,7 @@
     def instances_known(self, how: api.ListKind, instances: Iterable[Instance], version: int = 0) -> None:
         """News of the list: the whole of one carrier's instances, or what changed."""
         lines, told = [], list(instances)
+        self.listed = self.listed or how is api.ListKind.FULL
         if how is not api.ListKind.DELTA:
             # Guards one carrier's instances against another's whole list, which says nothing of them.
             carriers = {instance.carrier for instance in told} or {"platform"}
@@ -230,6 +253,10 @@
             readiness = (api.Readiness.GONE if gone else
                          api.Readiness.READY if instance.ready else api.Readiness.DRAINING)
             self.instances[instance.name] = instance
+            self._served.pop(instance.dest, None)
+            self._served[instance.dest] = None
+            if len(self._served) > SERVED_MOST:
+                del self._served[next(iter(self._served))]
             lines.append(api.Listing(
                 instance.name.encode(), self._dest(instance.dest), self._kinds.get(instance.kind, 0),
                 self._zones.get(instance.zone, 0), readiness, instance.rate, instance.born_ms))
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -223,6 +223,13 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Configured:
+    """Other settings are in force from now on. Messages keep the class under which they were accepted."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True)
 class Note:
     """A note from another forwarder."""
@@ -231,7 +238,7 @@
     payload: bytes
 
 
-Event = Union[ListKnown, NewMessage, Withdrawn, Settled, Probed, Started, Timer, Closing, Note]
+Event = Union[ListKnown, NewMessage, Withdrawn, Settled, Probed, Started, Timer, Closing, Configured, Note]
 
 
 @dataclass(frozen=True)
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -89,7 +89,7 @@
 
     def __init__(self, folder: Path, room: int) -> None:
         self._path, self._new = folder / "journal", folder / "journal.new"
-        self._budget = room - _MARGIN - 2 * _BLOCK
+        self.limit(room)
         self.entries: dict[int, Entry] = {}
         self._sizes: dict[int, int] = {}
         self._live = 0
@@ -100,6 +100,10 @@
         self._size = 0
         self._rewrite()
 
+    def limit(self, room: int) -> None:
+        """Keep within so many bytes of the disk."""
+        self._budget = room - _MARGIN - 2 * _BLOCK
+
     # What is written
 
     def take(self, entry: Entry) -> None:
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -28,6 +28,9 @@
 FOREVER = float("inf")
 RING_START, RING_MOST = 4096, 128 * 1024
 _ACCEPTS = 64  # connections taken in one go, so that a flood of them cannot starve the rest
+FRESH_MS, SPARE_MS = 200.0, 2050.0  # a connection that rests so long, unused and used, may go for another
+CROWDED = 0.75                      # share of the connections allowed from which resting ones go
+FULL_MS = 25.0                      # pause before another look for room where none rests long enough
 log = logging.getLogger(__name__)
 
 
@@ -421,12 +424,18 @@
 
 
 class Listener:
-    """Accepts connections and starts a task for each; holds at most `most` of them at once."""
+    """Accepts connections and starts a task for each; holds at most `most` of them at once.
+
+    Fronts say when a connection rests. Guards new service clients against those that stay and say nothing:
+    the connection that has rested longest goes when room gets scarce.
+    """
 
     def __init__(self, loop: Loop, address: Address, serve: Callable[[Connection], Coroutine[None]],
                  most: int, name: str) -> None:
         self.loop, self.serve, self.most, self.name = loop, serve, most, name
         self.open: set[Connection] = set()
+        self.resting: dict[Connection, tuple[float, bool]] = {}  # since when, and whether it was ever used
+        self.dismiss: Callable[[Connection], None] = Connection.close
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -449,8 +458,12 @@
 
     def _accept(self, _mask: int) -> None:
         for _ in range(_ACCEPTS):
+            if len(self.open) >= CROWDED * self.most:
+                self._make_room()
             if len(self.open) >= self.most:
-                return self._pause()
+                self._pause()
+                self.loop.call_at(self.loop.now() + FULL_MS, self._resume)
+                return
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -467,6 +480,22 @@
             self.open.add(connection)
             self.loop.spawn(self._run(connection), self.name)
 
+    def rest(self, connection: Connection, used: bool) -> None:
+        """Nothing is under way on the connection from now on, until it is woken."""
+        if not connection.closed:
+            self.resting[connection] = self.loop.now(), used
+
+    def wake(self, connection: Connection) -> None:
+        self.resting.pop(connection, None)
+
+    def _make_room(self) -> None:
+        """Dismiss the connection that has rested longest, if one has rested long enough."""
+        now = self.loop.now()
+        for connection, (since, used) in self.resting.items():
+            if now - since >= (SPARE_MS if used else FRESH_MS):
+                self.wake(connection)
+                return self.dismiss(connection)
+
     def _run(self, connection: Connection) -> Coroutine[None]:
         try:
             yield from self.serve(connection)
@@ -477,6 +506,7 @@
 
     def _gone(self, connection: Connection) -> None:
         self.open.discard(connection)
+        self.wake(connection)
         self._resume()
 
     def close(self) -> None:
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -16,7 +16,7 @@
 import re
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from fnmatch import fnmatchcase
 from typing import Optional
@@ -130,10 +130,37 @@
         self.loop, self.exchange, self.setup = loop, exchange, setup
         self.closing = False
         self._waiting: dict[int, Signal] = {}
-        self._idle: set[Connection] = set()
-        self.listeners = [
-            Listener(loop, where.address, lambda c, p=where.protocol: Session(self, c, p).run(),  # type: ignore
-                     where.most, where.protocol) for where in setup.listen]
+        self._places: dict[config.Listen, Listener] = {}
+        self.configure(setup)
+
+    @property
+    def listeners(self) -> list[Listener]:
+        return list(self._places.values())
+
+    def configure(self, setup: config.Mail) -> None:
+        """Listen where the file says now; or leave all as it was and raise, where that cannot be."""
+        gone = {(where.protocol, where.address): where for where in self._places}
+        made: dict[config.Listen, Listener] = {}
+        try:
+            for where in setup.listen:
+                old = gone.pop((where.protocol, where.address), None)
+                made[where] = self._places[old] if old else self._listener(where)
+        except OSError:
+            for listener in made.values():
+                if listener not in self._places.values():
+                    listener.close()
+            raise
+        for where, listener in made.items():
+            listener.most = where.most
+        for where in gone.values():
+            self._places[where].close()
+        self.setup, self._places = setup, made
+
+    def _listener(self, where: config.Listen) -> Listener:
+        listener = Listener(self.loop, where.address, lambda c: Session(self, c, listener).run(), where.most,
+                            where.protocol)
+        listener.dismiss = self._dismiss
+        return listener
 
     # What the exchange calls
 
@@ -184,18 +211,19 @@
             left = max(1.0, min(left, taken.keep_until - self.exchange.wall(self.loop.now())))
         return 451, "4.4.0 not delivered" + (f"; come back after {left:.0f} ms" if left > 0 else "")
 
-    def rest(self, connection: Connection, idle: bool) -> None:
-        (self._idle.add if idle else self._idle.discard)(connection)
-
     def leave(self) -> None:
         """Accept no more, and take leave of the clients that are not waiting for an answer."""
         self.closing = True
         for listener in self.listeners:
             listener.close()
-        for connection in list(self._idle):
-            connection.outbound.append(b"421 4.3.2 closing\r\n")
-            connection.flush()
-            connection.close()
+            for connection in list(listener.resting):
+                self._dismiss(connection)
+
+    @staticmethod
+    def _dismiss(connection: Connection) -> None:
+        connection.outbound.append(b"421 4.3.2 closing\r\n")
+        connection.flush()
+        connection.close()
 
 
 def identity(sender: str, recipients: list[str], body: bytes) -> str:
@@ -209,9 +237,9 @@
 class Session:
     """One connection of a service client."""
 
-    def __init__(self, front: MailFront, connection: Connection, protocol: str) -> None:
-        self.front, self.connection, self.loop = front, connection, front.loop
-        self.lmtp = protocol == "lmtp"
+    def __init__(self, front: MailFront, connection: Connection, listener: Listener) -> None:
+        self.front, self.connection, self.listener, self.loop = front, connection, listener, front.loop
+        self.lmtp = listener.name == "lmtp"
         self.helo, self.errors = "", 0
         self.envelope: Optional[Envelope] = None
         hello = {"LHLO": self._hello} if self.lmtp else {"HELO": self._hello, "EHLO": self._hello}
@@ -227,14 +255,14 @@
         yield from self._say(220, f"{self.front.setup.hostname} {name} ashvale")
         more = True
         while more and self.errors <= ERRORS_MOST:
-            self.front.rest(self.connection, True)
+            self.listener.rest(self.connection, bool(self.helo))
             try:
                 line = yield from self.connection.line(LINE_MOST, self._until())
             except Expired:
                 yield from self._say(421, "4.4.2 idle for too long")
                 return
             finally:
-                self.front.rest(self.connection, False)
+                self.listener.wake(self.connection)
             more = yield from self._command(line)
         if more:
             yield from self._say(421, "4.7.0 too many errors")
@@ -498,14 +526,22 @@
     def __init__(self, loop: Loop, exchange: Exchange, setup: config.Mail, most_idle: int) -> None:
         super().__init__(loop, exchange, most_idle)
         self.setup = setup
-        self._lmtp = {instance_name(i): i.protocol == "lmtp" for i in setup.instances}
+
+    def configure(self, setup: config.Mail) -> None:
+        """Follow another file: its instances are announced, and those it leaves out are gone."""
+        old, self.setup = self.setup, setup
+        now = {instance_name(i) for i in setup.instances}
+        self._announce([i for i in old.instances if instance_name(i) not in now], gone=True)
+        self.announce()
 
     def announce(self) -> None:
         """Tell the exchange the instances that the file lists."""
+        self._announce(self.setup.instances)
+
+    def _announce(self, instances: Iterable[config.MailInstance], gone: bool = False) -> None:
         self.exchange.instances_known(api.ListKind.DELTA, [
-            Instance(instance_name(i), i.dest, i.address, config.MAIL_KIND, i.zone, rate=i.rate,
-                     carrier="mail")
-            for i in self.setup.instances])
+            Instance(instance_name(i), i.dest, i.address, config.MAIL_KIND, i.zone, gone=gone, rate=i.rate,
+                     carrier="mail") for i in instances])
 
     def _drop(self, client: MailClient) -> None:
         if not client.connection.stale:
@@ -521,7 +557,8 @@
         try:
             if client is None:
                 connection = yield from self._connect(execution)
-                client = MailClient(connection, self._lmtp[execution.instance.name], self.setup.hostname)
+                lmtp = execution.instance.name.startswith("lmtp:")
+                client = MailClient(connection, lmtp, self.setup.hostname)
                 yield from client.greet(until)
             answers = yield from client.deliver(
                 envelope["from"], envelope["to"], entry.body, until, lambda: self._check(execution))
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -20,7 +20,7 @@
 
 from ashvale import interface as api
 from ashvale.config import ConfigError, address, get
-from ashvale.exchange import DELIVERED, RETURNED, Command, Exchange, Execution, Instance, Nack
+from ashvale.exchange import DELIVERED, NACK_MS, RETURNED, Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.net.loop import (
@@ -39,9 +39,11 @@
 from ashvale.net.pool import Carrier, Silenced
 
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
-REQUEST_MS = 5000.0       # a service client has this long for one request
+REQUEST_MS = 2000.0       # a service client has this long for one request, and to begin with its first
 IDLE_MS = 75000.0         # and may leave its connection idle for this long
+PAST_MOST = 4096          # ids of messages that are over, kept to know them again
 LINGER_MS = 250.0         # the rest of an answer that is settled may trickle in for this long
+REST_MS = 80.0            # the rest of a refusal has this long to come, or the answer is spoilt
 WATCH_MS, AGENT_MS = 10000.0, 1000.0  # how long a watch may wait, and discovery's agent to answer
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 NOTICES_MOST = 400        # lines in one notice
@@ -141,10 +143,14 @@
     def __init__(self, loop: Loop, exchange: Exchange, address: Address, most: int, notices: Notices) -> None:
         self.loop, self.exchange, self.notices = loop, exchange, notices
         self.closing = False
-        self._idle: set[Connection] = set()
+        self._past: dict[str, str] = {}
         self.listener = Listener(loop, address, self._serve, most, "platform")
 
     def ended(self, entry: Entry) -> None:
+        # Guards a message that is over against a second life under its id, as another client may send it.
+        self._past[entry.id] = entry.state
+        if len(self._past) > PAST_MOST:
+            del self._past[next(iter(self._past))]
         if entry.state in (RETURNED, "failed"):
             self.notices.add(entry)
         else:
@@ -157,16 +163,18 @@
         """Accept no more, and end the connections on which no request is under way."""
         self.listener.close()
         self.closing = True
-        for connection in list(self._idle):
+        for connection in list(self.listener.resting):
             connection.close()
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+        used = False
         while True:
             taken: Optional[Entry] = None
             status, headers = 200, list[tuple[str, str]]()
             try:
-                request = yield from self._request(connection, http)
+                request = yield from self._request(connection, http, used)
+                used = True
                 if request is None:
                     return
                 status, headers, taken = self._answer(request)
@@ -183,10 +191,11 @@
                 return
             http.start_next_cycle()
 
-    def _request(self, connection: Connection, http: h11.Connection) -> Coroutine[Optional[Request]]:
+    def _request(self, connection: Connection, http: h11.Connection,
+                 used: bool) -> Coroutine[Optional[Request]]:
         """Read one request; None at the end of the connection."""
         head: Optional[h11.Request] = None
-        body, until = bytearray(), self.loop.now() + IDLE_MS
+        body, until = bytearray(), self.loop.now() + (IDLE_MS if used else REQUEST_MS)
         while True:
             try:
                 event = http.next_event()
@@ -198,11 +207,11 @@
                         http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"", until)
                 idle = head is None and not http.trailing_data[0]
                 if idle:
-                    self._idle.add(connection)
+                    self.listener.rest(connection, used)
                 try:
                     data = yield from connection.receive(until)
                 finally:
-                    self._idle.discard(connection)
+                    self.listener.wake(connection)
                 if idle:
                     until = self.loop.now() + REQUEST_MS
                 try:
@@ -211,6 +220,9 @@
                     raise Refused(400, str(error)) from None
             elif isinstance(event, h11.Request):
                 head = event
+                if {b"content-length", b"transfer-encoding"} <= {name for name, _ in head.headers}:
+                    # Guards against a request hidden in the body of another: two ways to find its end.
+                    raise Refused(400, "Content-Length beside Transfer-Encoding")
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > BODY_MOST:
@@ -233,7 +245,14 @@
             raise Refused(404, f"no class {request.path[:80]}")
         if request.method != "POST":
             raise Refused(405, f"{request.method} {request.path}")
-        result = self.exchange.take(self._command(request))
+        command = self._command(request)
+        if (state := self._past.get(command.id)) is not None:
+            return (202 if state == DELIVERED else 409), [], None
+        if not self.exchange.serves(command.dest):
+            if self.exchange.listed:
+                raise Refused(404, f"no destination {command.dest}")
+            return 503, [("Retry-After", f"{NACK_MS / 1000.0:.3f}")], None
+        result = self.exchange.take(command)
         if isinstance(result, Nack):
             return 503, [("Retry-After", f"{result.after_ms / 1000.0:.3f}")], None
         return 202, [], result
@@ -265,7 +284,7 @@
         data = http.send(h11.Response(status_code=status, headers=headers)) or b""
         until = self.loop.now() + REQUEST_MS
         yield from connection.send(data + (http.send(h11.EndOfMessage()) or b""), until)
-        while close and status == 413 and (yield from connection.receive(until)):
+        while status == 413 and (yield from connection.receive(until)):
             pass  # guards the answer against a reset that unread data would cause
 
 
@@ -275,20 +294,34 @@
     def __init__(self, loop: Loop, address: Address) -> None:
         self.loop, self.address = loop, address
         self._open: Optional[HttpClient] = None
+        self._busy: Optional[HttpClient] = None
+
+    def move(self, address: Address) -> None:
+        """The agent is elsewhere from now on; a request under way ends as `Broken`."""
+        if address != self.address:
+            self.address = address
+            for client in (self._open, self._busy):
+                if client is not None:
+                    client.connection.close()
 
     def ask(self, method: str, target: str, body: bytes, until: float) -> Coroutine[tuple[int, bytes]]:
         client, self._open = self._open, None
         if client is None or client.connection.stale:
             if client is not None:
                 client.connection.close()
-            client = HttpClient((yield from connect(self.loop, self.address, until)), self.address)
+            where = self.address
+            client = HttpClient((yield from connect(self.loop, where, until)), where)
+            if where != self.address:  # moved on meanwhile
+                client.connection.close()
+        self._busy = client
         try:
-            reply = Reply()
+            reply = Reply(most=64 * BODY_MOST)
             yield from client.ask(method, target, [], body, until, reply)
             if client.reusable:
                 self._open = client
             return reply.status, bytes(reply.body)
         finally:
+            self._busy = None
             if self._open is not client:
                 client.connection.close()
 
@@ -297,7 +330,7 @@
     """Tells the platform the ends of messages that were not delivered, again until it has heard."""
 
     def __init__(self, loop: Loop, address: Address) -> None:
-        self.loop, self._channel = loop, Channel(loop, address)
+        self.loop, self.channel = loop, Channel(loop, address)
         self._waiting: deque[Entry] = deque()
         self._more = Signal()
         self.told: Callable[[Entry], None] = lambda entry: None
@@ -315,7 +348,7 @@
             body = b"".join(map(notice, lines))
             until = self.loop.now() + AGENT_MS
             try:
-                status, _ = yield from self._channel.ask("POST", "/v1/notices", body, until)
+                status, _ = yield from self.channel.ask("POST", "/v1/notices", body, until)
             except (Broken, Expired) as error:
                 log.warning("notice not told", extra={"why": str(error)})
                 status = 0
@@ -349,10 +382,12 @@
     """What has come back so far of one request."""
 
     written: bool = False
+    whole: bool = False
     status: int = 0
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
-    on_head: Callable[[], bool] = lambda: False
+    most: int = BODY_MOST
+    on_head: Callable[[], float] = lambda: FOREVER  # tells how long the rest may take
 
 
 class HttpClient:
@@ -391,13 +426,13 @@
                 raise
             if isinstance(event, h11.Response):
                 reply.status, reply.headers = event.status_code, dict(event.headers)
-                if reply.on_head():  # guards slots: what is settled does not wait for a rest that trickles
-                    until = min(until, self.connection.loop.now() + LINGER_MS)
+                until = min(until, self.connection.loop.now() + reply.on_head())
             elif isinstance(event, h11.Data):
                 reply.body += event.data
-                if len(reply.body) > 64 * BODY_MOST:
+                if len(reply.body) > reply.most:
                     raise Broken("the answer is too large")
             elif isinstance(event, h11.EndOfMessage):
+                reply.whole = True
                 return
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise Broken("no answer")
@@ -410,8 +445,9 @@
 
     @property
     def reusable(self) -> bool:
+        # Guards the next request against what came behind an answer: it would be read as its own answer.
         done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        return done and not self.connection.stale
+        return done and not self.http.trailing_data[0] and not self.connection.stale
 
 
 class Pool(Carrier[HttpClient]):
@@ -433,10 +469,11 @@
         except Broken as error:
             log.debug("execution broke", extra={"instance": instance.name, "why": str(error)})
             outcome = Outcome.RESET if reply.written else Outcome.CONNECT_FAILED
-        whole = outcome is Outcome.CONNECT_FAILED
-        if reply.status and (len(execution.parts) == 1 or reply.status != 200 or whole):
+        # An answer that is spoilt says nothing, but for a first line with 200 where it concerns one message.
+        if reply.whole or (reply.status == 200 and len(execution.parts) == 1):
             self._settle(execution, reply)
-        self._report_all(execution, outcome)
+        for entry in execution.parts:
+            self.exchange.report(execution, entry, outcome, wait_ms(reply.headers))
         return client
 
     def _ask(self, client: HttpClient, execution: Execution, reply: Reply) -> Coroutine[None]:
@@ -450,10 +487,20 @@
         headers = [("Request-Id", entry.id), ("Request-Timeout", wait)]
         if entry.key:
             headers.insert(1, ("Idempotency-Key", entry.key))
-        reply.on_head = lambda: self._settle(execution, reply)  # its first line says it all
+        reply.on_head = lambda: self._first(execution, reply)
         yield from client.ask("POST", "/hook", headers, entry.body, execution.until, reply)
 
-    def _settle(self, execution: Execution, reply: Reply) -> bool:
+    def _first(self, execution: Execution, reply: Reply) -> float:
+        """Guards slots: a delivery is settled by its first line and does not wait for a rest that trickles.
+
+        A refusal is none before it is whole, as a spoilt answer proves nothing; but its wait binds soon.
+        """
+        if reply.status == 200:
+            self._settle(execution, reply)
+            return LINGER_MS
+        return REST_MS
+
+    def _settle(self, execution: Execution, reply: Reply) -> None:
         """Report each message of the call by what has come back."""
         wait, busy = wait_ms(reply.headers), reply.headers.get(b"x-line-busy") == b"1"
         ends = decode_batch(bytes(reply.body)) if reply.status == 200 and len(execution.parts) > 1 else None
@@ -461,7 +508,6 @@
             end = reply.status if ends is None else ends.get(entry.id, "")
             outcome, over = outcome_of(end, busy)
             self.exchange.report(execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy)
-        return True
 
 
 def outcome_of(end: int | str, busy: bool = False) -> tuple[Outcome, str]:
@@ -485,7 +531,13 @@
 
     def __init__(self, loop: Loop, exchange: Exchange, address: Address) -> None:
         self.loop, self.exchange = loop, exchange
-        self._channel = Channel(loop, address)
+        self.channel = Channel(loop, address)
+        self._afresh = True
+
+    def move(self, address: Address) -> None:
+        """Follow another agent; what the old one has told stays until the new one has told its whole list."""
+        self.channel.move(address)
+        self._afresh = True
 
     def known(self, data: Any) -> None:
         """Start with the list as the courier last had it."""
@@ -497,13 +549,17 @@
         seq: Optional[int] = None
         pause = RETRY_MS[0]
         while True:
+            if self._afresh:
+                seq, pause, self._afresh = None, RETRY_MS[0], False
             wait = 0.0 if seq is None else WATCH_MS
             target = "/discovery/hosts"
             if seq is not None:
                 target += f"?since={seq}&timeout_ms={WATCH_MS:.0f}"
             until = self.loop.now() + wait + AGENT_MS
             try:
-                status, body = yield from self._channel.ask("GET", target, b"", until)
+                status, body = yield from self.channel.ask("GET", target, b"", until)
+                if self._afresh:
+                    raise Broken("the agent is elsewhere")
                 if status != 200:
                     raise Broken(f"status {status}")
                 seq, whole, hosts = decode_hosts(json.loads(body))
@@ -511,7 +567,8 @@
                 log.warning("discovery silent", extra={"why": str(error), "since": seq})
                 if not isinstance(error, (Broken, Expired)):
                     seq = None  # guards against a change that was not understood: ask for all of it
-                yield from sleep(self.loop, pause)
+                if not self._afresh:
+                    yield from sleep(self.loop, pause)
                 pause = min(2 * pause, RETRY_MS[1])
                 continue
             pause = RETRY_MS[0]
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -44,7 +44,6 @@
         self._idle: defaultdict[str, list[tuple[C, float]]] = defaultdict(list)
         self._tasks: dict[int, Task] = {}
         self._made: dict[int, Connection] = {}
-        self._keep = max(0.0, exchange.settings.keepalive_ms - EARLY_MS)
 
     @abstractmethod
     def _converse(self, client: Optional[C], execution: Execution) -> Coroutine[Optional[C]]:
@@ -118,7 +117,8 @@
             self.exchange.report(execution, entry, outcome)
 
     def _usable(self, client: C, since: float) -> bool:
-        return not client.connection.stale and self.loop.now() - since < self._keep
+        keep = self.exchange.settings.keepalive_ms - EARLY_MS
+        return not client.connection.stale and self.loop.now() - since < keep
 
     def _reuse(self, name: str) -> Optional[C]:
         """The connection used last, so that the others may grow old."""
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -109,7 +109,8 @@
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
-        self.seq, self.hosts, self.changed = 1, dict[str, dict[str, Any]](), Signal()
+        self.seq, self.changed = 1, Signal()
+        self.hosts = {"s-0": {"host": "s-0", "dial": f"{HERE}:9", "block": 1, "health": "DRAINING"}}
         self.down, self.refuse = False, 0
         self.notices: list[dict[str, Any]] = []
         self.asked: list[str] = []
@@ -152,6 +153,7 @@
                          for key, value in SETTINGS.items()} | changes
         self.numbers = 0
         self.environ: dict[str, str] = {}
+        self.sockets = 1024
 
     def endpoint(self, *script: bytes | str, block: int = 1, kind: str = "direct") -> Endpoint:
         endpoint = Endpoint(self.loop, *script)
@@ -164,8 +166,8 @@
         file = self.folder / "config.json"
         port = self.discovery.listener.address[1]
         file.write_text(json.dumps({
-            "name": "n0", "seed": "1f", "settings": self.settings, "limits": {"disk_mb": self.disk_mb},
-            "known": self.discovery.whole()}))
+            "name": "n0", "seed": "1f", "settings": self.settings,
+            "limits": {"disk_mb": self.disk_mb, "sockets": self.sockets}, "known": self.discovery.whole()}))
         self.courier = Courier(config.load({
             "LB_CONFIG": str(file), "LB_STATE": str(self.folder), "LB_LISTEN": f"{HERE}:0",
             "LB_DISCOVERY": f"{HERE}:{port}", **self.environ}), self.loop)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -22,7 +22,7 @@
 from ashvale.__main__ import KeyValue
 from ashvale.net.loop import Broken, Coroutine, connect
 from ashvale.rehearsal import HERE, LONG_MS, Partner, run, set_up
-from tests.stage import Scene, request, scene
+from tests.stage import Discovery, Endpoint, Scene, request, scene
 
 
 class Program:
@@ -36,11 +36,16 @@
             **os.environ, "LB_STATE": str(s.folder), "LB_CONFIG": str(file), "LB_LISTEN": f"{HERE}:0",
             "LB_DISCOVERY": f"{HERE}:{s.discovery.listener.address[1]}", **environ})
         assert self.process.stderr is not None
-        while "event=serving" not in self.log and (line := self.process.stderr.readline()):
-            self.log += line.decode()
+        self.read_until("event=serving")
         for front, port in re.findall(r"listen_(\w+)=[\d.]+:(\d+)", self.log):
             self.ports[front] = int(port)
 
+    def read_until(self, event: str) -> None:
+        assert self.process.stderr is not None
+        line = ""
+        while event not in line and (line := self.process.stderr.readline().decode()):
+            self.log += line
+
     def ask(self, data: bytes) -> bytes:
         return ask(self.scene, self.ports["platform"], data)
 
@@ -99,6 +104,33 @@
         assert program.process.returncode == 0 and not s.discovery.notices
 
 
+def test_sighup_reads_the_configuration_anew_and_outlives_a_file_that_cannot_be_used() -> None:
+    """Guards against the signal's own way, which ends the process, and against half a configuration."""
+    with scene() as s:
+        program, file = Program(s), s.folder / "config.json"
+        old = file.read_text()
+        for text in ("{", '{"settings": {}}', old.replace('"tick_ms": 5.0', '"tick_ms": "soon"')):
+            file.write_text(text)
+            program.process.send_signal(signal.SIGHUP)
+            program.read_until("configuration not used")
+        new = Discovery(s.loop)
+        new.seq, endpoint = 90, Endpoint(s.loop)  # another agent may count otherwise
+        new.list("s-1", endpoint)
+        file.write_text(json.dumps({**json.loads(old), "settings": {**s.settings, "limits": {
+            **s.settings["limits"], "max_open": 3}}, "discovery": f"{HERE}:{new.listener.address[1]}"}))
+        program.process.send_signal(signal.SIGHUP)
+        program.read_until("configuration read anew")
+        s.until(lambda: len(new.asked) >= 2)
+        assert new.asked[0] == "/discovery/hosts"
+        assert program.ask(request("rate-update", "m1")).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: len(endpoint.calls) == 1)
+        assert program.ask(request("rate-update", "m2", timeout="1m")).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: len(new.notices) == 1)
+        assert "owed=0" in program.end(signal.SIGTERM) and not s.discovery.notices
+        new.listener.close()
+        endpoint.listener.close()
+
+
 @pytest.mark.parametrize(("kind", "protocol"), [(smtplib.SMTP, "smtp"), (smtplib.LMTP, "lmtp")])
 def test_a_client_of_the_standard_library_hands_in_mail(kind: type[smtplib.SMTP], protocol: str) -> None:
     with scene() as s:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
+from ashvale.net import loop as loop_module
 from ashvale.net import platform, pool
 from ashvale.net.loop import Address, Connection, Coroutine, Loop, connect, sleep
 from ashvale.rehearsal import DROP, STALL
@@ -69,6 +72,11 @@
     (request("rate-update", "a", body=b"x" * 65537), 413),
     (request("rate-update", "a", Content_Length="99999999999"), 413),
     (request("rate-update", "a", Content_Length="five"), 400),
+    # Guards partners and clients against what names no partner, or hides a second request in its body.
+    (request("rate-update", "a", dest=77), 503),
+    (request("rate-update", "a", Transfer_Encoding="chunked"), 400),
+    (request("rate-update", "a", Content_Length="-5"), 400),
+    (request("rate-update", "a", Content_Length="9" * 5000), 400),
     (b"GET /up HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 20000, 431)], ids=lambda value: str(value)[:40])
 def test_malformed_input_is_told_by_its_status(data: bytes, status: int) -> None:
     with scene() as s:
@@ -76,6 +84,56 @@
         assert s.ask(data).startswith(b"HTTP/1.1 %d " % status)
 
 
+def test_a_destination_that_no_list_names_is_refused_and_one_whose_instances_went_is_served() -> None:
+    """Guards the module against messages for partners that do not exist: they would wait for nothing."""
+    with scene() as s:
+        s.start()
+        s.until(lambda: len(s.discovery.asked) >= 2)
+        assert s.hand_in(dest=77)[1].startswith(b"HTTP/1.1 404 ")
+        del s.discovery.hosts["s-0"]
+        s.endpoint(block=2)
+        s.until(lambda: len(s.discovery.asked) >= 3)
+        assert s.hand_in(dest=1)[1].startswith(b"HTTP/1.1 202 ")
+        assert s.hand_in(dest=2)[1].startswith(b"HTTP/1.1 202 ")
+
+
+def test_a_message_that_is_over_is_not_taken_again_under_its_id() -> None:
+    """Guards against a second delivery where another client sends the id of a message that has just ended."""
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.start()
+        for _ in range(2):
+            assert s.hand_in(id="m1")[1].startswith(b"HTTP/1.1 202 ")
+            s.until(lambda: s.courier.exchange.idle)
+            s.rest(30.0)
+        assert len(endpoint.calls) == 1
+
+
+def test_clients_that_say_nothing_make_room_for_those_that_do(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards service clients against a full house of connections that stay, some after one request."""
+    monkeypatch.setattr(loop_module, "SPARE_MS", 400.0)
+    monkeypatch.setattr(platform, "REQUEST_MS", 600.0)
+    with scene() as s:
+        s.sockets = 16  # eight of them for clients
+        s.start()
+        assert s.courier.server is not None
+        address = s.courier.server.listener.address
+        silent = [socket.create_connection(address) for _ in range(8)]
+        s.rest(300.0)
+        assert s.hand_in()[1].startswith(b"HTTP/1.1 202 ")
+        used = [socket.create_connection(address) for _ in range(8)]
+        for client in used:
+            client.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        s.rest(600.0)
+        assert s.hand_in()[1].startswith(b"HTTP/1.1 202 ")
+        half = socket.create_connection(address)
+        half.sendall(b"POST /rate-update HTTP/1.1\r\n")
+        s.rest(900.0)
+        for client in (*silent, half):  # closed, though nothing more came
+            client.settimeout(1.0)
+            assert client.recv(100) == b""
+
+
 def test_a_message_is_journalled_before_202_and_passed_on_unchanged() -> None:
     with scene() as s:
         endpoint = s.endpoint()
@@ -173,6 +231,35 @@
         assert endpoint.most_out == 1 and not s.discovery.notices
 
 
+@pytest.mark.parametrize("more", [answer(200), answer(500), b"noise", b"\r\n\r\n"])
+def test_what_comes_behind_an_answer_is_not_the_answer_to_the_next_call(more: bytes) -> None:
+    """Guards against a delivery believed in because an instance answered the call before it twice."""
+    with scene() as s:
+        endpoint = s.endpoint(answer(200) + more, answer(429, X_Come_Back_Ms=100))
+        s.start()
+        for number in (1, 3):
+            s.hand_in()
+            s.until(lambda: s.courier.exchange.idle)
+            assert len(endpoint.calls) == number
+        assert [call.connection for call in endpoint.calls] == [1, 2, 2] and not s.discovery.notices
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"HTTP/1.1 429 no\r\nX-Come-Back-Ms: 50\r\nContent-Length: 9\r\n\r\nab",
+    b"HTTP/1.1 503 no\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 90000,
+    b"HTTP/1.1 410 gone\r\nContent-Length: 2\r\n\r\n"])
+def test_a_spoilt_refusal_proves_nothing(spoilt: bytes) -> None:
+    """Guards the rule on duplicates: a call whose answer cannot be read whole may have run."""
+    with scene() as s:
+        endpoint = s.endpoint(spoilt + b"\0")
+        s.start()
+        s.hand_in("usage-record")
+        s.until(lambda: len(endpoint.calls) == 1)
+        s.until(lambda: any(e.ran_at for e in s.courier.exchange.journal.entries.values()))
+        s.until(lambda: s.courier.exchange.idle)
+        assert [call.connection for call in endpoint.calls] == [1, 2]
+
+
 def test_a_usage_record_is_not_sent_again_after_its_window() -> None:
     categories = [{"name": "usage-record", "repeat": "token", "key_scope": "all", "objective_ms": 2000,
                    "give_up_ms": 16000, "dedup_window_ms": 2000}]
