Let nobody withdraw another's message, nor lose a request that waits unread

Cause: Server._answer returned the held entry for an id sent by another client; that client closed before its 202, so _serve withdrew the message of the first. Read beside it: _make_room could dismiss a connection whose request had come but was not yet read.

--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -319,6 +319,15 @@
         except OSError as error:
             self._fail(error)
 
+    def quiet(self) -> bool:
+        """True when nothing has come in, looked at just now: guards what has come and is not yet told."""
+        if not (self.ended or self.closed or len(self.inbound)):
+            self._receive()
+            if len(self.inbound) or self.ended:
+                self._interest()
+                self.changed.fire()
+        return not len(self.inbound)
+
     def flush(self) -> None:
         try:
             while len(self.outbound) and self.fault is None:
@@ -492,7 +501,7 @@
         """Dismiss the connection that has rested longest, if one has rested long enough."""
         now = self.loop.now()
         for connection, (since, used) in self.resting.items():
-            if now - since >= (SPARE_MS if used else FRESH_MS):
+            if now - since >= (SPARE_MS if used else FRESH_MS) and connection.quiet():
                 self.wake(connection)
                 return self.dismiss(connection)
 
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -246,6 +246,8 @@
         if request.method != "POST":
             raise Refused(405, f"{request.method} {request.path}")
         command = self._command(request)
+        if self.exchange.find("platform", command.id) is not None:
+            return 202, [], None  # held already, and not this request's to withdraw
         if (state := self._past.get(command.id)) is not None:
             return (202 if state == DELIVERED else 409), [], None
         if not self.exchange.serves(command.dest):
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -158,6 +158,15 @@
     run(loop, connection.send(b"x" * 300_000, loop.now() + 2000.0))
 
 
+def test_a_connection_on_which_something_has_come_makes_no_room() -> None:
+    """Guards a request that waits unread in the system: its client would be left without an answer."""
+    loop = Loop()
+    connection, other = pair(loop)
+    assert connection.quiet()
+    other.sendall(b"x")
+    assert not connection.quiet() and run(loop, connection.receive(0.0)) == b"x"
+
+
 def test_a_listener_holds_back_what_is_too_much() -> None:
     loop, seen = Loop(), list[Connection]()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 from ashvale.journal import Entry
 from ashvale.net import loop as loop_module
 from ashvale.net import platform, pool
-from ashvale.net.loop import Address, Connection, Coroutine, Loop, connect, sleep
+from ashvale.net.loop import Address, Broken, Connection, Coroutine, Loop, connect, sleep
 from ashvale.rehearsal import DROP, STALL
 from tests.stage import answer, batch_ids, request, scene
 
@@ -109,6 +109,24 @@
         assert len(endpoint.calls) == 1
 
 
+def test_nobody_withdraws_the_message_of_another() -> None:
+    """Guards a message taken on against a client that sends its id too and goes before it is answered."""
+    with scene() as s:
+        s.start()
+        id, _ = s.hand_in()
+        server = s.courier.server
+        assert server is not None
+
+        def gone(*_: object) -> Coroutine[None]:
+            yield from sleep(s.loop, 1.0)
+            raise Broken("the client is gone")
+
+        server._reply = gone  # type: ignore[method-assign]
+        s.hand_in(id=id)
+        s.rest(50.0)
+        assert s.courier.exchange.find("platform", id) is not None
+
+
 def test_clients_that_say_nothing_make_room_for_those_that_do(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards service clients against a full house of connections that stay, some after one request."""
     monkeypatch.setattr(loop_module, "SPARE_MS", 400.0)
