Forget cancelled timers and gone endpoints, and try a failed endpoint again in time

Causes: Loop kept each cancelled timer until it was due, the idle one of every request for 75 s; Connection.on_close kept closed connections in a cycle; Exchange.instances dropped gone instances at whole lists only. Controller._pick sorted endpoints that are out behind healthy ones, so with one free a trial that was due never went.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -338,7 +338,9 @@
 
     def _joins(self, e: Endpoint, now: float) -> bool:
         """True when a message would travel in a call that leaves this very moment."""
-        return bool(e.calls and e.calls[-1].sent == now and e.calls[-1].members < e.kind.per_call)
+        one = e.out_since is not None and any(x.ready and x.out_since is None for x in e.lane.endpoints)
+        most = 1 if one else e.kind.per_call  # while others serve, a trial risks one message
+        return bool(e.calls and e.calls[-1].sent == now and e.calls[-1].members < most)
 
     def _free(self, e: Endpoint, now: float) -> bool:
         """Tell whether slots, ring and health let a call go; one lane never holds all slots."""
@@ -350,7 +352,7 @@
         """Choose the message that loses most by waiting for the queue to drain, and its best endpoint."""
         known = [e for e in dest.endpoints if e.ready and (self._joins(e, now) or self._free(e, now))]
         endpoints = sorted(known, key=lambda e: (
-            not self._joins(e, now), e.out_since is not None, e.fee, len(e.calls), -e.last_ok))
+            not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok))
         best: tuple[float, Message, Endpoint] | None = None
         for m in dest.queue if endpoints else ():
             arrive, drain = now + endpoints[0].lane.usual, self._drain(m.dest)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -13,7 +13,7 @@
 import logging
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Optional, Protocol
 
 from ashvale import interface as api
@@ -249,9 +249,12 @@
             self._left = self.instances.keys() - names
         for instance in told:
             known = self.instances.get(instance.name)
-            gone, instance = instance.gone, known if instance.gone and known else instance
+            gone = instance.gone
+            instance = replace(known, gone=True) if gone and known else instance
             readiness = (api.Readiness.GONE if gone else
                          api.Readiness.READY if instance.ready else api.Readiness.DRAINING)
+            if known and known.address != instance.address:
+                self.carriers[known.carrier].close_idle(known.name)
             self.instances[instance.name] = instance
             self._served.pop(instance.dest, None)
             self._served[instance.dest] = None
@@ -262,6 +265,13 @@
                 self._zones.get(instance.zone, 0), readiness, instance.rate, instance.born_ms))
         self._post(api.ListKnown(how, version, tuple(lines)), at_once=True)
 
+    def _forget(self, gone: Iterable[str]) -> None:
+        """The Controller has heard that they are gone: nothing refers to them but what is out."""
+        for name in gone:
+            if (instance := self.instances.get(name)) and instance.gone:  # not listed again meanwhile
+                del self.instances[name]
+                self.carriers[instance.carrier].close_idle(name)
+
     def report(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float = 0.0,
                over: str = "", no_slot: bool = False) -> None:
         """One part of an execution has ended; `over` is the message's end where the instance tells it."""
@@ -329,6 +339,9 @@
                     self._carry_out(action, now, sends)
             except Exception:  # guards the other messages against a fault that one event brings to light
                 log.exception("event failed", extra={"kind": type(event).__name__})
+            if isinstance(event, api.ListKnown):
+                self._forget(line.target.decode() for line in event.lines
+                             if line.readiness is api.Readiness.GONE)
         for executions in sends.values():
             for execution in executions:
                 self._begin(execution)
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -27,6 +27,7 @@
 
 FOREVER = float("inf")
 RING_START, RING_MOST = 4096, 128 * 1024
+DEAD_MOST = 256  # cancelled timers that are kept at least
 _ACCEPTS = 64  # connections taken in one go, so that a flood of them cannot starve the rest
 FRESH_MS, SPARE_MS = 200.0, 2050.0  # a connection that rests so long, unused and used, may go for another
 CROWDED = 0.75                      # share of the connections allowed from which resting ones go
@@ -57,13 +58,15 @@
 class Timer:
     """A call that is due at a time, unless cancelled."""
 
-    __slots__ = ("action", "at")
+    __slots__ = ("action", "at", "loop")
 
-    def __init__(self, at: float, action: Callable[[], None]) -> None:
-        self.at, self.action = at, action
+    def __init__(self, loop: Loop, at: float, action: Callable[[], None]) -> None:
+        self.loop, self.at, self.action = loop, at, action
 
     def cancel(self) -> None:
-        self.action = _nothing
+        if self.action is not _nothing:
+            self.action = _nothing
+            self.loop.cancelled()
 
 
 def _nothing() -> None:
@@ -126,6 +129,7 @@
         self._epoll = select.epoll()
         self._handlers: dict[int, Callable[[int], None]] = {}
         self._timers: list[tuple[float, int, Timer]] = []
+        self._dead = 0  # cancelled ones among them
         self._numbers = itertools.count()
         self._running = False
 
@@ -138,10 +142,18 @@
         return task
 
     def call_at(self, at: float, action: Callable[[], None]) -> Timer:
-        timer = Timer(at, action)
+        timer = Timer(self, at, action)
         heapq.heappush(self._timers, (at, next(self._numbers), timer))
         return timer
 
+    def cancelled(self) -> None:
+        """Guards memory against timers that are due much later and wanted no more: most are cancelled."""
+        self._dead += 1
+        if self._dead > DEAD_MOST and 2 * self._dead > len(self._timers):
+            self._timers = [entry for entry in self._timers if entry[2].action is not _nothing]
+            heapq.heapify(self._timers)
+            self._dead = 0
+
     def watch(self, fd: int, mask: int, handler: Callable[[int], None]) -> None:
         if fd in self._handlers:
             self._epoll.modify(fd, mask)
@@ -171,7 +183,11 @@
                 self._guard(lambda handler=handler, mask=mask: handler(mask))  # type: ignore[misc]
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
-            self._guard(heapq.heappop(self._timers)[2].action)
+            timer = heapq.heappop(self._timers)[2]
+            action, timer.action = timer.action, _nothing
+            if action is _nothing:
+                self._dead -= 1
+            self._guard(action)
         for _ in range(len(self.ready)):
             task, fired = self.ready.popleft()
             task.step(fired)
@@ -393,7 +409,8 @@
             self.closed = True
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
-            self.on_close()
+            on_close, self.on_close = self.on_close, _nothing  # which refers to this connection
+            on_close()
             self.changed.fire()
 
 
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -41,7 +41,7 @@
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
 REQUEST_MS = 2000.0       # a service client has this long for one request, and to begin with its first
 IDLE_MS = 75000.0         # and may leave its connection idle for this long
-PAST_MOST = 4096          # ids of messages that are over, kept to know them again
+PAST_MOST = 2048          # ids of messages that are over, kept to know them again
 LINGER_MS = 250.0         # the rest of an answer that is settled may trickle in for this long
 REST_MS = 80.0            # the rest of a refusal has this long to come, or the answer is spoilt
 WATCH_MS, AGENT_MS = 10000.0, 1000.0  # how long a watch may wait, and discovery's agent to answer
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -119,6 +120,20 @@
     assert len(notes.exchange.instances) <= 2
 
 
+def test_an_instance_that_is_told_to_be_gone_is_forgotten_with_its_connections(notes: Notes) -> None:
+    """Guards memory on long days, when new instances replace old ones all the time."""
+    closed = list[str]()
+    notes.close_idle = closed.append  # type: ignore[method-assign]
+    for number in range(20):
+        told = [Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub"),
+                Instance(f"i{number - 1}", "1", ("127.0.0.1", 1), "hub", gone=True)]
+        notes.exchange.instances_known(api.ListKind.DELTA, told)
+        if number == 5:  # one that is back before the Controller has heard that it was gone
+            notes.exchange.instances_known(api.ListKind.DELTA, [replace(told[1], gone=False)])
+        rest(notes, 3.0)
+    assert notes.exchange.instances.keys() == {"i19", "i4"} and len(closed) == 19
+
+
 def test_a_fault_over_one_event_leaves_the_others_alone(
         notes: Notes, monkeypatch: pytest.MonkeyPatch) -> None:
     real = notes.exchange.controller.handle
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -167,6 +167,17 @@
     assert not connection.quiet() and run(loop, connection.receive(0.0)) == b"x"
 
 
+def test_cancelled_timers_are_not_kept() -> None:
+    """Guards memory: most waits end long before their time is up."""
+    loop, fired = Loop(), list[int]()
+    loop.call_at(loop.now() + 5.0, lambda: fired.append(1))
+    for _ in range(5000):
+        loop.call_at(loop.now() + 60_000.0, lambda: fired.append(2)).cancel()
+    assert len(loop._timers) < 600
+    run(loop, sleep(loop, 20.0))
+    assert fired == [1]
+
+
 def test_a_listener_holds_back_what_is_too_much() -> None:
     loop, seen = Loop(), list[Connection]()
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -56,6 +56,21 @@
     assert driver.controller.endpoints[b"a"].lane.n == 5
 
 
+def test_an_endpoint_that_failed_is_tried_again_while_its_kin_serve() -> None:
+    """Guards the load on the others: else one is left out as long as another is free."""
+    driver = Driver(settings(slots=40, may_probe=False))
+    driver.feed(listed(line("a"), line("b")))
+    driver.feed(api.NewMessage(1, 1, 1, 12000.0))
+    failed = driver.owed[1].attempts[0].target
+    driver.settle(1, 0, Outcome.CONNECT_FAILED)
+    for number in range(2, 8):
+        driver.until(200.0 * number)
+        driver.feed(api.NewMessage(number, 1, 1, 12000.0))
+        for message, attempt, _ in driver.out():
+            driver.settle(message, attempt, Outcome.OK)
+    assert failed in [sent.target for owed in list(driver.owed.values())[1:] for sent in owed.attempts]
+
+
 def test_under_one_call_a_window_refusals_halve_n_and_a_success_doubles_it() -> None:
     """Guards a shared limit against many forwarders that each keep a call a window."""
     driver = started(1, deadline=60000.0, forwarders=40)
