Keep endpoints that lose some answers in use, refill emptied rings, and spare CPU

Causes: Controller._learn took each reset for an outage when its call was the latest, and in a warm-up set it back to cold; a lost call marked health once for each of its messages. _grow widened N by one a window after _refused had taken one for each message of a batch; the design doubles it. _dispatch weighed every queue again after each send.

Now resets are no outage after a mishap or in a warm-up, unless most calls fail; N doubles while under half of its listed part; a send weighs again only its own destination; the server keeps its few answers ready. Pools look once more at a connection before they use it. Mail clients rest 5 and 10 s before they make room, and a reload of the mail file is tested.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -24,8 +24,10 @@
 PATIENCE = (6.0, 20.0)     # time-out of a first attempt and of an unsafe one, likewise
 TRIAL_MS = (80.0, 2000.0)  # least pause before a trial call: by each forwarder, and at most
 MISHAP_MS = 2500.0         # failures that pass within this time are a mishap, not an outage
+LOSSY_MS = 10000.0         # after a mishap lost answers alone are no outage for so long
 RAMP_SHARE = 0.9           # part of the permitted fail-back load that is used
 SPARE = 1.5                # what a destination can do, over its usual traffic, at the least
+LOW = 0.5                  # share of its part of a listed limit under which N doubles
 LEFT = 0.25                # N does not grow while less than this share of a limit is reported left
 LANE_SHARE = 0.75         # part of the slots that one lane may hold
 RATE_MS = 20000.0          # span over which the usual traffic of a destination is counted
@@ -313,8 +315,12 @@
 
     def _dispatch(self, now: float) -> None:
         """Send what may go from the destinations concerned, the message first that loses most by waiting."""
-        while picks := [pick for dest in self.dirty if (pick := self._pick(self.dests[dest], now))]:
-            self._send(*max(picks, key=lambda pick: pick[0])[1:], now)
+        picks = {dest: self._pick(self.dests[dest], now) for dest in self.dirty}
+        while best := max(filter(None, picks.values()), key=lambda pick: pick[0], default=None):
+            self._send(*best[1:], now)
+            # Guards CPU in a jam: a send changes no other destination's pick, unless it took the last slot.
+            for dest in [best[1].dest] if self.calls_out < self.s.slots else list(picks):
+                picks[dest] = self._pick(self.dests[dest], now)
         while self.dirty:
             self._plan(self.dirty.popitem()[0], now)
 
@@ -354,9 +360,13 @@
         endpoints = sorted(known, key=lambda e: (
             not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok))
         best: tuple[float, Message, Endpoint] | None = None
-        for m in dest.queue if endpoints else ():
-            arrive, drain = now + endpoints[0].lane.usual, self._drain(m.dest)
-            index = worth_at(m, arrive) - worth_at(m, arrive + drain) + 1e-3 * worth_at(m, arrive)
+        if not (endpoints and dest.queue):
+            return None
+        arrive = now + endpoints[0].lane.usual
+        drained = arrive + self._drain(dest.queue[0].dest)
+        for m in dest.queue:
+            soon = worth_at(m, arrive)
+            index = soon - worth_at(m, drained) + 1e-3 * soon
             if best is None or index > best[0]:
                 e = next((e for e in endpoints if self._may_send(m, e, now)), None)
                 best = (index, m, e) if e else best
@@ -427,13 +437,17 @@
             self._refused(e, call.sent, event.wait_ms, now)
         elif outcome is Outcome.CONNECT_FAILED and (e.calls or e.ok_sent >= call.sent > now - 2000.0):
             self.crowded.add(e.kind)  # others are served: the connection table is full, no outage
-        elif outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+        elif outcome not in (Outcome.CANCELLED, Outcome.MOOT) and not call.lost:
             e.marks.append(False)
+            # Guards health against one lost answer that is told for each message of its call, and against
+            # counting an endpoint out that loses some and serves on: one that is gone refuses connections.
+            call.lost = outcome is Outcome.RESET
+            lossy = call.lost and (now < e.lossy_until or now - e.ramp_from < self.s.warm_up_ms)
             e.unconnected = outcome is Outcome.CONNECT_FAILED
             self.crowded |= {e.kind} if e.unconnected else set()  # until it proves to be an outage
             # Guards against calls lost at random, or very long: one overtaken by a later call is no sign of
             # an outage. May hurt where an endpoint answers one kind of call alone.
-            if call.sent > e.ok_sent or failing(e):
+            if call.sent > e.ok_sent and not lossy or failing(e):
                 self._went_out(e, now, call.sent)
 
     def _told(self, lane: Lane, total: float) -> None:
@@ -448,7 +462,10 @@
         if lane.n is not None and lane.n < 1.0:
             lane.n = min(1.0, 2.0 * lane.n)
         elif lane.n is not None and now - lane.grown_at >= WINDOW_MS:
-            lane.n, lane.grown_at = lane.n + (sends_since(lane, now - WINDOW_MS) >= int(lane.n)), now
+            # Guards against a collapse that outlasts its cause: far under its listed part N doubles.
+            low = lane.n < LOW * lane.total * WINDOW_MS / 1000.0 / self.s.forwarders
+            step = lane.n if low else 1.0
+            lane.n, lane.grown_at = lane.n + step * (sends_since(lane, now - WINDOW_MS) >= int(lane.n)), now
             if lane.total > 0:
                 lane.n = min(lane.n, max(1.0, lane.total * WINDOW_MS / 1000.0))
             elif now - lane.refused_at > CLEAN_WINDOWS * WINDOW_MS:
@@ -492,6 +509,7 @@
         """A success ends the failing spell; after an outage the load returns in steps (rule four)."""
         e.marks.append(True)
         if e.out_since is not None:
+            e.lossy_until = now + LOSSY_MS if now - e.out_since < MISHAP_MS else e.lossy_until
             e.ramp_from = now if now - e.out_since >= MISHAP_MS or failing(e) else e.ramp_from
             if e.unconnected and now - e.out_since >= 2 * MISHAP_MS:
                 self.crowded.discard(e.kind)
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -462,6 +462,7 @@
         self.open: set[Connection] = set()
         self.resting: dict[Connection, tuple[float, bool]] = {}  # since when, and whether it was ever used
         self.dismiss: Callable[[Connection], None] = Connection.close
+        self.spare_ms = FRESH_MS, SPARE_MS
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -518,7 +519,7 @@
         """Dismiss the connection that has rested longest, if one has rested long enough."""
         now = self.loop.now()
         for connection, (since, used) in self.resting.items():
-            if now - since >= (SPARE_MS if used else FRESH_MS) and connection.quiet():
+            if now - since >= self.spare_ms[used] and connection.quiet():
                 self.wake(connection)
                 return self.dismiss(connection)
 
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -31,6 +31,7 @@
 
 LINE_MOST, TEXT_MOST = 2048, 64 * 1024  # longest command and longest line of a message that are read
 REPLY_MS = 10000.0    # a client has this long to take a reply
+REST_MS = (5000.0, 10000.0)  # rest before HELO, and later, for which a client is sent away in a full house
 ERRORS_MOST = 20      # a client that errs more often is sent away
 HOPS_MOST = 100       # a message that has come further goes in circles
 _PATH = re.compile(r"<(?:@[^:<>]*:)?((?:\"(?:[^\"\\]|\\.)*\"|[^<>\"\s])*)>((?:\s.*)?)\Z")
@@ -159,7 +160,7 @@
     def _listener(self, where: config.Listen) -> Listener:
         listener = Listener(self.loop, where.address, lambda c: Session(self, c, listener).run(), where.most,
                             where.protocol)
-        listener.dismiss = self._dismiss
+        listener.dismiss, listener.spare_ms = self._dismiss, REST_MS
         return listener
 
     # What the exchange calls
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any, Optional
 
 import h11
@@ -219,10 +220,12 @@
                 except h11.RemoteProtocolError as error:
                     raise Refused(400, str(error)) from None
             elif isinstance(event, h11.Request):
-                head = event
-                if {b"content-length", b"transfer-encoding"} <= {name for name, _ in head.headers}:
+                head, fields = event, dict(event.headers)
+                if b"content-length" in fields and b"transfer-encoding" in fields:
                     # Guards against a request hidden in the body of another: two ways to find its end.
                     raise Refused(400, "Content-Length beside Transfer-Encoding")
+                if int(fields.get(b"content-length", 0)) > BODY_MOST:
+                    raise Refused(413, "body too large")
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > BODY_MOST:
@@ -233,8 +236,6 @@
                                bytes(body), self.loop.now())
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
-            if head is not None and int(dict(head.headers).get(b"content-length", 0)) > BODY_MOST:
-                raise Refused(413, "body too large")
 
     def _answer(self, request: Request) -> tuple[int, list[tuple[str, str]], Optional[Entry]]:
         if request.path == "/up":
@@ -282,14 +283,19 @@
     def _reply(self, connection: Connection, http: h11.Connection, status: int,
                headers: list[tuple[str, str]]) -> Coroutine[None]:
         close = self.closing or status in (400, 413, 431) or http.their_state is not h11.DONE
-        headers = [*headers, ("Content-Length", "0"), *([("Connection", "close")] if close else [])]
-        data = http.send(h11.Response(status_code=status, headers=headers)) or b""
+        data = http.send(response(status, close, tuple(headers))) or b""
         until = self.loop.now() + REQUEST_MS
         yield from connection.send(data + (http.send(h11.EndOfMessage()) or b""), until)
         while status == 413 and (yield from connection.receive(until)):
             pass  # guards the answer against a reset that unread data would cause
 
 
+@lru_cache(maxsize=64)  # nearly all answers are one of a few, and checking their headers takes time
+def response(status: int, close: bool, headers: tuple[tuple[str, str], ...]) -> h11.Response:
+    more = [("Content-Length", "0"), *([("Connection", "close")] if close else [])]
+    return h11.Response(status_code=status, headers=[*headers, *more])
+
+
 class Channel:
     """Requests to discovery's agent, one at a time, on a connection that is kept."""
 
@@ -308,7 +314,7 @@
 
     def ask(self, method: str, target: str, body: bytes, until: float) -> Coroutine[tuple[int, bytes]]:
         client, self._open = self._open, None
-        if client is None or client.connection.stale:
+        if client is None or not client.connection.quiet() or client.connection.stale:
             if client is not None:
                 client.connection.close()
             where = self.address
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -118,7 +118,9 @@
 
     def _usable(self, client: C, since: float) -> bool:
         keep = self.exchange.settings.keepalive_ms - EARLY_MS
-        return not client.connection.stale and self.loop.now() - since < keep
+        # Guards against a call on a connection that was just closed, or spoken on, and it is not yet told.
+        still = client.connection.quiet() and not client.connection.stale
+        return still and self.loop.now() - since < keep
 
     def _reuse(self, name: str) -> Optional[C]:
         """The connection used last, so that the others may grow old."""
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -37,6 +37,7 @@
     endpoint: Endpoint
     sent: float
     members: int = 0
+    lost: bool = False  # its answer never came, though it was written
 
 
 @dataclass(eq=False)
@@ -58,6 +59,7 @@
     out_since: Optional[float] = None  # set while the endpoint is held to fail
     ramp_from: float = NEVER  # when it last came back from an outage
     trial_at: float = 0.0
+    lossy_until: float = NEVER  # it loses answers, but is not out
     probing: bool = False
     unconnected: bool = False  # the last failure was a connection that did not come about
 
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -170,6 +170,30 @@
         assert rest == body.replace(b"\r\n..", b"\r\n.") and (got.sender, got.recipients) == (SENDER, to)
 
 
+def test_a_new_file_moves_partners_and_clients_and_can_turn_the_front_off() -> None:
+    """Guards against a reload that keeps sending to a partner's old server, or stops half-way."""
+    with staged(Partner) as (loop, old, stage):
+        new, file = Partner(loop), stage.folder / "mail.toml"
+        address, told = stage.address(), {"ASHVALE_MAIL": str(file), "LB_STATE": str(stage.folder)}
+        assert codes(run(loop, Client(loop, address).send(SENDER, [RATE], MESSAGE))) == ["250"]
+        text = stage.text.replace(f":{old.address[1]}", f":{new.address[1]}")
+        taken = text.replace('protocol = "lmtp"\naddress = "127.0.0.1:0"',
+                             f'protocol = "lmtp"\naddress = "127.0.0.1:{new.address[1]}"')
+        for useless in ("enabled = 1", taken):
+            file.write_text(useless)
+            stage.courier.reload(told)
+        body = MESSAGE.replace(b"Message-ID: <", b"Message-ID: <2")
+        assert codes(run(loop, Client(loop, address).send(SENDER, [RATE], body))) == ["250"]
+        assert (len(old.deliveries), len(new.deliveries)) == (2, 0)
+        file.write_text(text)
+        stage.courier.reload(told)
+        assert stage.address() == address  # the client's side went on
+        body = MESSAGE.replace(b"Message-ID: <", b"Message-ID: <3")
+        assert codes(run(loop, Client(loop, address).send(SENDER, [RATE], body))) == ["250"]
+        assert (len(old.deliveries), len(new.deliveries)) == (2, 1)
+        new.close()
+
+
 def test_lmtp_answers_for_each_recipient_in_its_turn() -> None:
     with staged(lmtp) as (loop, partner, stage):
         partner.scripts[:] = [{"rcpt": "550 unknown"}]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,6 @@
 
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
-from ashvale.net import loop as loop_module
 from ashvale.net import platform, pool
 from ashvale.net.loop import Address, Broken, Connection, Coroutine, Loop, connect, sleep
 from ashvale.rehearsal import DROP, STALL
@@ -129,12 +128,12 @@
 
 def test_clients_that_say_nothing_make_room_for_those_that_do(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards service clients against a full house of connections that stay, some after one request."""
-    monkeypatch.setattr(loop_module, "SPARE_MS", 400.0)
     monkeypatch.setattr(platform, "REQUEST_MS", 600.0)
     with scene() as s:
         s.sockets = 16  # eight of them for clients
         s.start()
         assert s.courier.server is not None
+        s.courier.server.listener.spare_ms = 200.0, 400.0
         address = s.courier.server.listener.address
         silent = [socket.create_connection(address) for _ in range(8)]
         s.rest(300.0)
@@ -378,6 +377,19 @@
         assert endpoint.connections == first + 1 and first <= 3
 
 
+def test_a_connection_that_was_closed_a_moment_ago_is_not_used_again() -> None:
+    """Guards a call against a connection whose end has come but was not yet told by the loop."""
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.start()
+        s.hand_in()
+        s.until(lambda: s.courier.exchange.idle)
+        kept = s.courier.pool._idle["s-1"][0]
+        for connection in list(endpoint.listener.open):
+            connection.sock.shutdown(socket.SHUT_RDWR)
+        assert not kept[0].connection.stale and not s.courier.pool._usable(*kept)
+
+
 def test_nothing_new_goes_to_an_endpoint_that_drains_and_the_watch_goes_on() -> None:
     with scene() as s:
         leaving, staying = s.endpoint(), s.endpoint()
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -71,6 +71,37 @@
     assert failed in [sent.target for owed in list(driver.owed.values())[1:] for sent in owed.attempts]
 
 
+def test_far_under_its_listed_part_n_doubles_and_then_grows_by_one() -> None:
+    """Guards a destination against a ring that a short trouble has emptied and that fills for a minute."""
+    driver = started(90, rate=10.0, deadline=60000.0)
+    lane = driver.controller.endpoints[b"a"].lane
+    lane.n, sizes = 2.0, list[float]()
+    for window in range(1, 6):
+        driver.until(window * (WINDOW_MS + 60.0))
+        for message, attempt, _ in driver.out():
+            driver.settle(message, attempt, Outcome.OK)
+        sizes.append(lane.n)
+    assert sizes == sorted(sizes) and 4.0 in sizes and 8.0 in sizes and sizes[-1] in (16.0, 17.0)
+
+
+def test_an_endpoint_that_loses_answers_and_serves_on_is_not_out() -> None:
+    """Guards what is left out: lost answers set the load back to a cold start each time."""
+    driver = started(12)
+    e = driver.controller.endpoints[b"a"]
+    driver.now = 50.0
+    driver.settle(1, 0, Outcome.RESET)  # it might be an outage
+    assert e.out_since is not None
+    driver.settle(2, 0, Outcome.OK)
+    assert e.out_since is None
+    for number, outcome in ((3, Outcome.OK), (4, Outcome.RESET), (5, Outcome.OK), (6, Outcome.RESET)):
+        driver.now += 10.0
+        driver.settle(number, 0, outcome)
+        assert e.out_since is None
+    for number in range(7, 13):  # but most calls fail
+        driver.settle(number, 0, Outcome.RESET)
+    assert e.out_since is not None
+
+
 def test_under_one_call_a_window_refusals_halve_n_and_a_success_doubles_it() -> None:
     """Guards a shared limit against many forwarders that each keep a call a window."""
     driver = started(1, deadline=60000.0, forwarders=40)
