Let a large ring that is used evenly grow again while messages wait

Cause: Controller._grow asked for N sends in the last 2,000 ms, but the gate lets a slot go after window and margin, 2,030 to 2,050 ms. From about N = 20 on, evenly spread sends never filled that window. Ruled out: the reload itself (the refusals began before the first SIGHUP), told waits (none for 7.5 s), slots (14 to 27 of 27 out).

Now the window has the margin, and N grows only while messages wait, as the design says.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -465,7 +465,10 @@
             # Guards against a collapse that outlasts its cause: far under its listed part N doubles.
             low = lane.n < LOW * lane.total * WINDOW_MS / 1000.0 / self.s.forwarders
             step = lane.n if low else 1.0
-            lane.n, lane.grown_at = lane.n + step * (sends_since(lane, now - WINDOW_MS) >= int(lane.n)), now
+            # The ring's own period has the margin: without it evenly spread sends never fill a large ring.
+            full = sends_since(lane, now - WINDOW_MS - lane.margin) >= int(lane.n)
+            waits = any(self.dests[e.dest].queue for e in lane.endpoints)
+            lane.n, lane.grown_at = lane.n + step * (full and waits), now
             if lane.total > 0:
                 lane.n = min(lane.n, max(1.0, lane.total * WINDOW_MS / 1000.0))
             elif now - lane.refused_at > CLEAN_WINDOWS * WINDOW_MS:
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -84,6 +84,20 @@
     assert sizes == sorted(sizes) and 4.0 in sizes and 8.0 in sizes and sizes[-1] in (16.0, 17.0)
 
 
+def test_a_large_ring_that_is_used_evenly_grows_while_messages_wait() -> None:
+    """Guards against a ring that stands still: its period is the window and the margin."""
+    driver = started(30, rate=20.0, deadline=60000.0, slots=2)  # the slots make most of them wait
+    lane = driver.controller.endpoints[b"a"].lane
+    for waits, size in ((True, 24.0), (False, 23.0)):
+        now, lane.n, lane.grown_at = 50_000.0, 23.0, 0.0
+        lane.ring.clear()
+        lane.ring.extend(now - 5.0 - (WINDOW_MS + lane.margin) * i / 23.0 for i in range(40, -1, -1))
+        if not waits:
+            driver.controller.dests[1].queue.clear()
+        driver.controller._grow(lane, now)
+        assert lane.n == size
+
+
 def test_an_endpoint_that_loses_answers_and_serves_on_is_not_out() -> None:
     """Guards what is left out: lost answers set the load back to a cold start each time."""
     driver = started(12)
