Keep notices and the watch on discovery going whatever happens

A notice waited 1 s on an agent that answers at once, longer than the 300 ms after which a message is lost. Carrier._run looked for a kept connection outside its try, so a fault there would have left an execution unreported.

Checked: no such fault in the logs at hand, so this is a guard and not a proven cause. Each part has a test that fails without it, but for Carrier._run, which only moves into the block that reports.

--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -10,14 +10,14 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any, Optional
 
 from ashvale import config
 from ashvale.exchange import Exchange
 from ashvale.journal import Full, Journal
-from ashvale.net.loop import Loop, Task
+from ashvale.net.loop import Coroutine, Loop, Task, lasting
 from ashvale.net.mail import MailCarrier, MailFront
 from ashvale.net.platform import Discovery, Notices, Pool, Server
 
@@ -83,9 +83,12 @@
         self.exchange.carriers["platform"] = self.pool
         self.server = Server(self.loop, self.exchange, front.listen, 1, self.notices)
         self.exchange.fronts["platform"] = self.server
-        for steps, name in ((self.notices.run(), "notices"), (self.pool.sweep(), "pool"),
-                            (self.discovery.run(), "discovery")):
-            self.tasks.append(self.loop.spawn(steps, name))
+        for steps, name in ((self.notices.run, "notices"), (self.pool.sweep, "pool"),
+                            (self.discovery.run, "discovery")):
+            self._always(steps, name)
+
+    def _always(self, steps: Callable[[], Coroutine[None]], name: str) -> None:
+        self.tasks.append(self.loop.spawn(lasting(self.loop, steps, name), name))
 
     def _mail_front(self, setup: config.Mail) -> None:
         self.mail = MailFront(self.loop, self.exchange, setup)
@@ -95,7 +98,7 @@
         self.carrier = MailCarrier(self.loop, self.exchange, setup, 1)
         self.exchange.carriers["mail"] = self.carrier
         self.carrier.announce()
-        self.tasks.append(self.loop.spawn(self.carrier.sweep(), "mail pool"))
+        self._always(self.carrier.sweep, "mail pool")
 
     def _share(self, told: config.Config) -> None:
         """Half of the descriptors are for service clients, a quarter for idle connections to instances."""
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -31,6 +31,7 @@
 _ACCEPTS = 64  # connections taken in one go, so that a flood of them cannot starve the rest
 FRESH_MS, SPARE_MS = 200.0, 2050.0  # a connection that rests so long, unused and used, may go for another
 CROWDED = 0.75                      # share of the connections allowed from which resting ones go
+AGAIN_MS = 50.0                     # pause before a task that failed begins again
 FULL_MS = 25.0                      # pause before another look for room where none rests long enough
 log = logging.getLogger(__name__)
 
@@ -206,6 +207,16 @@
     yield Signal(), loop.now() + ms
 
 
+def lasting(loop: Loop, steps: Callable[[], Coroutine[None]], name: str) -> Coroutine[None]:
+    """Guards what must go on as long as the process does: after a fault it begins again."""
+    while True:
+        try:
+            yield from steps()
+        except Exception:
+            log.exception("task begins again", extra={"task": name})
+        yield from sleep(loop, AGAIN_MS)
+
+
 class Ring:
     """A byte queue in one buffer that wraps round; it grows by doubling up to its limit."""
 
@@ -416,7 +427,10 @@
 
 def connect(loop: Loop, address: Address, until: float) -> Coroutine[Connection]:
     """Open a connection, or raise `Broken` or `Expired`."""
-    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:  # no descriptor is left
+        raise Broken(f"connecting failed: {error}") from error
     opened = False
     try:
         sock.setblocking(False)
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -46,6 +46,7 @@
 LINGER_MS = 250.0         # the rest of an answer that is settled may trickle in for this long
 REST_MS = 80.0            # the rest of a refusal has this long to come, or the answer is spoilt
 WATCH_MS, AGENT_MS = 10000.0, 1000.0  # how long a watch may wait, and discovery's agent to answer
+NOTICE_MS = 200.0         # the agent answers notices at once; what is late to be told counts as lost
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 NOTICES_MOST = 400        # lines in one notice
 _ID = re.compile(rb"[!-~]{1,200}\Z")
@@ -354,7 +355,7 @@
                 yield self._more, FOREVER
             lines = [self._waiting[i] for i in range(min(most, len(self._waiting)))]
             body = b"".join(map(notice, lines))
-            until = self.loop.now() + AGENT_MS
+            until = self.loop.now() + NOTICE_MS
             try:
                 status, _ = yield from self.channel.ask("POST", "/v1/notices", body, until)
             except (Broken, Expired) as error:
@@ -371,7 +372,7 @@
                 most = 1  # guards the others against one that is not understood
                 self._waiting.rotate(-1)
             yield from sleep(self.loop, pause)
-            pause = min(2 * pause, RETRY_MS[1])
+            pause = min(2 * pause, NOTICE_MS)
 
 
 def notice(entry: Entry) -> bytes:
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -86,9 +86,10 @@
 
     def _run(self, execution: Execution) -> Coroutine[None]:
         name = execution.instance.name
-        held = self._reuse(name)
+        held: Optional[C] = None
         client: Optional[C] = None
         try:
+            held = self._reuse(name)
             client = yield from self._converse(held, execution)
         finally:
             self._tasks.pop(id(execution), None)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import socket
 
 import pytest
 
 from ashvale.net.loop import (
+    AGAIN_MS,
     Broken,
     Connection,
     Coroutine,
@@ -17,6 +19,7 @@
     Ring,
     Signal,
     connect,
+    lasting,
     sleep,
 )
 from ashvale.rehearsal import HERE, run
@@ -167,6 +170,31 @@
     assert not connection.quiet() and run(loop, connection.receive(0.0)) == b"x"
 
 
+def test_what_must_last_begins_again_after_a_fault() -> None:
+    """Guards notices and the watch on discovery: one odd answer would end them for good."""
+    loop, begun = Loop(), list[int]()
+
+    def steps() -> Coroutine[None]:
+        begun.append(1)
+        yield from sleep(loop, 1.0)
+        raise ValueError("odd")
+
+    task = loop.spawn(lasting(loop, steps, "odd"), "odd")
+    run(loop, sleep(loop, 3 * AGAIN_MS))
+    assert len(begun) >= 2 and not task.done
+    task.cancel()
+
+
+def test_no_descriptor_left_is_a_connection_that_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    def none_left(*_: object) -> None:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    loop = Loop()
+    monkeypatch.setattr(socket, "socket", none_left)
+    with pytest.raises(Broken):
+        run(loop, connect(loop, (HERE, 1), loop.now() + 100.0))
+
+
 def test_cancelled_timers_are_not_kept() -> None:
     """Guards memory: most waits end long before their time is up."""
     loop, fired = Loop(), list[int]()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.net import platform, pool
-from ashvale.net.loop import Address, Broken, Connection, Coroutine, Loop, connect, sleep
+from ashvale.net.loop import Address, Broken, Connection, Coroutine, Expired, Loop, connect, sleep
 from ashvale.rehearsal import DROP, STALL
 from tests.stage import answer, batch_ids, request, scene
 
@@ -340,6 +340,25 @@
         assert s.discovery.notices[0]["after_ms"] > 0
 
 
+def test_a_notice_is_tried_again_before_its_message_counts_as_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards ends against an agent's connection that falls silent: what is late is lost."""
+    waits = list[float]()
+
+    def silent(self: platform.Channel, method: str, target: str, body: bytes,
+               until: float) -> Coroutine[tuple[int, bytes]]:
+        if method == "POST":
+            waits.append(until - self.loop.now())
+        yield from sleep(self.loop, 1.0)
+        raise Expired("the other side sends no data")
+
+    with scene() as s:
+        s.start()
+        monkeypatch.setattr(platform.Channel, "ask", silent)
+        s.hand_in(timeout="50m")
+        s.until(lambda: len(waits) >= 2)
+        assert max(waits) <= 250.0
+
+
 def test_a_message_that_a_wait_keeps_too_long_is_returned_at_once_with_it() -> None:
     with scene() as s:
         endpoint = s.endpoint(answer(429, X_Come_Back_Ms=60000))
