End service clients' connections with the answer in a full house

The debug log has 1,749 and 2,013 connections dismissed as resting and 2,592 reset by clients that had waited in vain.

Cause: each client took a connection, asked once and stayed. Listener _make_room lets one that was used go after 2.05 s only, so 192 places bear 94 new clients a second, and the retries made it worse.

Now, from three quarters of the places on, an answer says Connection: close, which the protocol allows at any time and no request can cross.

--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -499,7 +499,7 @@
 
     def _accept(self, _mask: int) -> None:
         for _ in range(_ACCEPTS):
-            if len(self.open) >= CROWDED * self.most:
+            if self.crowded:
                 self._make_room()
             if len(self.open) >= self.most:
                 self._pause()
@@ -521,6 +521,10 @@
             self.open.add(connection)
             self.loop.spawn(self._run(connection), self.name)
 
+    @property
+    def crowded(self) -> bool:
+        return len(self.open) >= CROWDED * self.most
+
     def rest(self, connection: Connection, used: bool) -> None:
         """Nothing is under way on the connection from now on, until it is woken."""
         if not connection.closed:
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -283,7 +283,9 @@
 
     def _reply(self, connection: Connection, http: h11.Connection, status: int,
                headers: list[tuple[str, str]]) -> Coroutine[None]:
-        close = self.closing or status in (400, 413, 431) or http.their_state is not h11.DONE
+        # Guards new clients where each keeps a connection of its own: resting ones go too late to make room.
+        close = self.closing or self.listener.crowded or http.their_state is not h11.DONE
+        close = close or status in (400, 413, 431)
         data = http.send(response(status, close, tuple(headers))) or b""
         until = self.loop.now() + REQUEST_MS
         yield from connection.send(data + (http.send(h11.EndOfMessage()) or b""), until)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -151,6 +151,21 @@
             assert client.recv(100) == b""
 
 
+def test_in_a_full_house_an_answer_ends_its_connection() -> None:
+    """Guards new clients where each takes a connection, asks once and stays: they would wait at the door."""
+    with scene() as s:
+        s.sockets = 16  # eight of them for clients, and from six on it is crowded
+        s.start()
+        assert s.courier.server is not None
+        address = s.courier.server.listener.address
+        assert b"onnection: close" not in s.hand_in()[1]
+        silent = [socket.create_connection(address) for _ in range(5)]
+        s.rest(50.0)
+        id, head = s.hand_in()
+        assert head.startswith(b"HTTP/1.1 202 ") and b"onnection: close" in head
+        assert len(silent) == 5 and s.courier.exchange.find("platform", id) is not None
+
+
 def test_a_message_is_journalled_before_202_and_passed_on_unchanged() -> None:
     with scene() as s:
         endpoint = s.endpoint()
