Trace every message from door to end, with reasons, sampling and a bounded store

Need: when a record arrives late nobody can tell whether the time went to the front layer, to waiting at the courier or to a slow partner.

Off by default. Found on the way by the property test: two whole lists in one turn made the exchange forget an instance that the module still named (exchange.instances_known), and a message sent there was lost from its books; a list that waits for its turn now holds that back.

--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -60,7 +60,8 @@
 
     def __init__(self, told: config.Config, loop: Loop) -> None:
         self.loop, self.told = loop, told
-        self.exchange = Exchange(loop, told.settings, told.seed, Journal(told.state, told.limits.disk_bytes))
+        self.exchange = Exchange(loop, told.settings, told.seed, Journal(told.state, told.journal_bytes))
+        self._trace(told)
         self.leaving = False
         self.tasks: list[Task] = []
         self.server: Optional[Server] = None
@@ -74,9 +75,27 @@
         self._share(told)
         self.exchange.resume()
 
+    def _trace(self, told: config.Config) -> None:
+        """Follow what the operator's file says of tracing; what it needs is loaded only where it is on."""
+        tracer, self.exchange.tracer = self.exchange.tracer, None
+        if told.trace is None:
+            if tracer is not None:
+                tracer.close()
+            return
+        if tracer is not None:
+            tracer.begin(told.trace)
+        else:
+            try:
+                from ashvale.trace.recorder import Recorder
+            except ImportError as error:
+                log.error("tracing stays off", extra={"why": f"not installed: {error.name}"})
+                return
+            tracer = Recorder(self.exchange, told.trace, told.name, os.urandom)
+        self.exchange.tracer = tracer if tracer.store is not None else None
+
     def _platform(self, front: config.Platform) -> None:
         self.notices = Notices(self.loop, front.discovery)
-        self.notices.told = self.exchange.told
+        self.notices.told, self.notices.untold = self.exchange.told, self.exchange.untold
         self.pool = Pool(self.loop, self.exchange, 1)
         self.discovery = Discovery(self.loop, self.exchange, front.discovery)
         self.discovery.known(front.known)
@@ -127,7 +146,8 @@
         if told.platform is not None and self.discovery is not None:
             self.discovery.move(told.platform.discovery)
             self.notices.channel.move(told.platform.discovery)
-        self.exchange.journal.limit(told.limits.disk_bytes)
+        self.exchange.journal.limit(told.journal_bytes)
+        self._trace(told)
         self.told = replace(told, mail=mail)
         self._share(self.told)
 
@@ -163,6 +183,8 @@
     def halt(self) -> None:
         """End at once, as a kill would: for a courier that shares its loop with others."""
         self.exchange.halt()
+        if self.exchange.tracer is not None and self.exchange.tracer.store is not None:
+            self.exchange.tracer.store.close()
         for task in self.tasks:
             task.cancel()
         for listener in ((self.server.listener,) if self.server else ()) + tuple(
@@ -209,9 +231,22 @@
     loop.watch(woken.fileno(), 1, signalled)
     log.info("serving", extra={"pid": os.getpid(), **courier.addresses()})
     loop.run()
+    if courier.exchange.tracer is not None:
+        courier.exchange.tracer.close()
     log.info("ended", extra={"owed": len(courier.exchange.journal.entries)})
     return 0
 
 
-if __name__ == "__main__":
+def entry() -> None:
+    """Bare, the daemon; with words behind it, a sub-command."""
+    if len(sys.argv) > 1:
+        try:
+            from ashvale import cli
+        except ImportError as error:  # guards a small installation against a traceback
+            sys.exit(f"ashvale: sub-commands need the extra 'kit': {error.name} is not installed")
+        cli.main(sys.argv[1:])
     sys.exit(main(os.environ))
+
+
+if __name__ == "__main__":
+    entry()
--- a/ashvale/config.py
+++ b/ashvale/config.py
@@ -20,6 +20,7 @@
 _EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 _MISSING = object()
 MAIL_FILE = Path(__file__).parent.parent / "deploy" / "mail.toml"
+OWN_FILE = Path(__file__).parent.parent / "deploy" / "ashvale.toml"
 DISK_MB, SOCKETS = 3, 1024  # taken where the deployment states no limit
 
 
@@ -44,6 +45,20 @@
     known: Mapping[str, Any]
 
 
+@dataclass(frozen=True)
+class Trace:
+    """Tracing, as the operator's file sets it up; `budget` is bytes of disk."""
+
+    folder: Path
+    budget: int = 0
+    age_ms: float = 0.0
+    share: float = 0.01
+    slowest: int = 2
+    details: int = 20
+    live: int = 4096
+    mail_headers: bool = False
+
+
 @dataclass(frozen=True)
 class Config:
     """All that one courier is told."""
@@ -55,6 +70,13 @@
     settings: api.Settings
     platform: Optional[Platform]
     mail: Optional[Mail] = None
+    trace: Optional[Trace] = None
+
+    @property
+    def journal_bytes(self) -> int:
+        """What is left of the disk for the journal where traces lie in the same folder."""
+        shared = self.trace is not None and self.trace.folder.resolve().is_relative_to(self.state.resolve())
+        return self.limits.disk_bytes - (self.trace.budget if self.trace is not None and shared else 0)
 
 
 def parse(text: bytes | str, what: str) -> Any:
@@ -106,16 +128,57 @@
         raise ConfigError(f"{file.name}: key 'connections' adds up to more than {SOCKETS // 2}")
     if environ.get("LB_CONFIG"):
         told = _platform(environ, anew)
-        return replace(told, mail=front, settings=with_mail(told.settings, front)) if front else told
+        told = replace(told, mail=front, settings=with_mail(told.settings, front)) if front else told
+        return _with_trace(told, environ)
     if front is None:
         raise ConfigError("environment: key 'LB_CONFIG' is missing, and the mail front is off")
     limits = get(root, "limits", dict, {}, file.name)
     where = f"{file.name}: limits"
     disk = _least(limits, "disk_mb", float, float(DISK_MB), 0.2, where)
-    return Config(
+    return _with_trace(Config(
         name=front.hostname, state=_state(environ.get("LB_STATE") or get(root, "state", str, "", file.name)),
         seed=0, limits=Limits(_least(limits, "sockets", int, SOCKETS, 64, where), int(disk * 1_000_000)),
-        settings=with_mail(None, front), platform=None, mail=front)
+        settings=with_mail(None, front), platform=None, mail=front), environ)
+
+
+_OWN_KEYS = {"trace": {"enabled", "folder", "budget_kb", "age_h", "share", "slowest", "details", "live",
+                       "mail_headers"}}
+
+
+def _with_trace(told: Config, environ: Mapping[str, str]) -> Config:
+    """Add what the operator's own file says of tracing."""
+    file = Path(environ.get("ASHVALE_SETTINGS") or OWN_FILE)
+    root = read_toml(file) if file.exists() or "ASHVALE_SETTINGS" in environ else {}
+    found = trace(root, told, file.name)
+    mail = told.mail
+    if mail is not None and found is not None and found.mail_headers:
+        mail = replace(mail, trace_headers=True)
+    return replace(told, trace=found, mail=mail)
+
+
+def trace(root: Any, told: Config, what: str) -> Optional[Trace]:
+    """Check the operator's file and read its `[trace]`; None where that is off."""
+    for key in root:
+        if key not in _OWN_KEYS:
+            raise ConfigError(f"{what}: unknown key '{key}'")
+    table, where = get(root, "trace", dict, {}, what), f"{what}: trace"
+    for key in table:
+        if key not in _OWN_KEYS["trace"]:
+            raise ConfigError(f"{where}: unknown key '{key}'")
+    folder = Path(get(table, "folder", str, "", where) or told.state / "trace")
+    share = _least(table, "share", float, 0.01, 0.0, where)
+    if share > 1.0:
+        raise ConfigError(f"{where}: key 'share' is {share:g}, at most 1 was expected")
+    found = Trace(
+        folder, int(_least(table, "budget_kb", float, 512.0, 66.0, where) * 1000),
+        _least(table, "age_h", float, 72.0, 0.01, where) * 3.6e6, share,
+        _least(table, "slowest", int, 2, 0, where), _least(table, "details", int, 20, 0, where),
+        _least(table, "live", int, 4096, 1, where), get(table, "mail_headers", bool, False, where))
+    if not get(table, "enabled", bool, False, where):
+        return None
+    if 2 * replace(told, trace=found).journal_bytes < told.limits.disk_bytes:
+        raise ConfigError(f"{where}: key 'budget_kb' leaves the journal less than half of the disk")
+    return found
 
 
 def read_toml(file: Path) -> Any:
@@ -268,6 +331,7 @@
     senders: tuple[Rule, ...]
     instances: tuple[MailInstance, ...]
     settings: api.Settings
+    trace_headers: bool = False  # calls to partners carry their trace in the message's header
 
 
 MAIL_CLASS, MAIL_KIND = "mail/", "mail"
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Optional, Protocol
+from typing import TYPE_CHECKING, Optional, Protocol
 
 from ashvale import interface as api
 from ashvale.control import Controller
@@ -22,10 +22,14 @@
 from ashvale.journal import Entry, Full, Journal
 from ashvale.net.loop import Loop
 
+if TYPE_CHECKING:  # loaded only where tracing is on
+    from ashvale.trace.recorder import Recorder
+
 NACK_MS = 500.0         # when to come back after a refusal at the door
 SERVED_MOST = 4096      # destinations kept in mind
 NAMED_FROM = 1 << 20    # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
+_NUMBERS = {outcome: number for number, outcome in enumerate(Outcome, 1)}
 log = logging.getLogger(__name__)
 
 
@@ -59,6 +63,10 @@
     body: bytes
     retried: bool = False
     envelope: str = ""
+    began: float = 0.0      # when the request's first byte was read, on the loop's clock
+    traceparent: str = ""   # what the client sent for its trace, as it came
+    tracestate: str = ""
+    handed: str = ""        # when a front layer had it, likewise
 
 
 @dataclass(frozen=True)
@@ -79,6 +87,11 @@
     parts: list[Entry] = field(default_factory=list)
     attempts: list[int] = field(default_factory=list)
     open: set[int] = field(default_factory=set)
+    # What its carrier tells of it, on the loop's clock; nought: it has not come to that.
+    reused: bool = False
+    connected: float = 0.0
+    written: float = 0.0
+    first: float = 0.0
 
 
 class Front(Protocol):
@@ -123,6 +136,7 @@
         self._out: dict[int, Execution] = {}         # by message
         self._events: list[api.Event] = []
         self._due = self.halted = False
+        self.tracer: Optional[Recorder] = None
         self._wall = time.time() * 1000.0 - loop.now()
 
     def _use(self, settings: api.Settings) -> None:
@@ -170,6 +184,8 @@
                 log.error("front no longer configured", extra={"id": entry.id, "front": entry.front})
                 continue
             self._ids[entry.front, entry.id] = entry
+            if self.tracer is not None:
+                self.tracer.resumed(entry)
             if entry.state:
                 self._tell(entry)
             elif entry.cls not in self._classes:
@@ -189,20 +205,45 @@
         if (known := self.find(command.front, command.id)) is not None:
             return known  # guards against a second life for a command that a client sent once more
         if command.cls not in self._classes:  # the settings changed since its front looked it up
-            return Nack(NACK_MS, "no such class any more")
+            return self.refuse(command, "no such class any more")
         if len(self._owed) >= self.settings.max_open:
-            return Nack(NACK_MS, "too many messages held")
+            return self.refuse(command, "too many messages held")
         entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
                       self.wall(command.deadline), command.body, command.retried, command.envelope)
+        began = self.loop.now()
+        if self.tracer is not None:
+            entry.trace = self.tracer.identify(command)
         try:
             self.journal.take(entry)
         except Full as error:
             log.warning("no room", extra={"id": command.id, "why": str(error)})
-            return Nack(NACK_MS, "no room")
+            return self.refuse(command, "no room")
+        if self.tracer is not None:
+            self.tracer.taken(entry, command, began)
         self._ids[entry.front, entry.id] = entry
         self._hold(entry, None)
         return entry
 
+    def refuse(self, command: Command, why: str) -> Nack:
+        """Refuse at the door what could not be taken on."""
+        if self.tracer is not None:
+            self.tracer.refused(command, why)
+        return Nack(NACK_MS, why)
+
+    def answered(self, entry: Entry) -> None:
+        """The client has been told that its message was taken."""
+        if self.tracer is not None:
+            self.tracer.answered(entry)
+
+    def untold(self, entry: Entry) -> None:
+        """One try to tell the end of a message came to nothing."""
+        if self.tracer is not None:
+            self.tracer.untold(entry)
+
+    def trace_headers(self, execution: Execution) -> list[tuple[str, str]]:
+        """What a carrier's call tells of its messages' traces; nothing where tracing is off."""
+        return self.tracer.headers(execution) if self.tracer is not None else []
+
     def _hold(self, entry: Entry, ran_at: Optional[float]) -> None:
         self._owed[entry.number] = entry
         self._post(api.NewMessage(
@@ -215,12 +256,16 @@
             self._post(api.Withdrawn(entry.number))
             # Guards the turn against sending what is no longer held: this event overtakes the others.
             self._events.insert(0, self._events.pop())
+            if self.tracer is not None:
+                self.tracer.withdrawn(entry)
             self.told(entry)
 
     def told(self, entry: Entry) -> None:
         """The client knows the end; forget the message, or remember its outcome as long as was decided."""
         if self.halted:
             return
+        if self.tracer is not None:
+            self.tracer.ended(entry)
         if entry.keep_until > self.wall(self.loop.now()):
             self.journal.shorten(entry)
             self.loop.call_at(self.local(entry.keep_until) + 1.0, lambda: self.told(entry))
@@ -243,9 +288,11 @@
             carriers = {instance.carrier for instance in told} or {"platform"}
             told += [i for i in self.instances.values() if i.carrier not in carriers]
             # What two whole lists leave out is forgotten; one is not enough, as the Controller has yet to
-            # hear of it and may still name it.
+            # hear of it and may still name it. Nor are two that come in one turn, for the same reason.
             names = {i.name for i in told} | {e.instance.name for e in self._out.values()}
-            self.instances = {n: i for n, i in self.instances.items() if n in names or n not in self._left}
+            if not any(isinstance(event, api.ListKnown) for event in self._events):
+                self.instances = {n: i for n, i in self.instances.items()
+                                  if n in names or n not in self._left}
             self._left = self.instances.keys() - names
         for instance in told:
             known = self.instances.get(instance.name)
@@ -281,7 +328,10 @@
         self._out.pop(entry.number, None)
         attempt = execution.attempts[execution.parts.index(entry)]
         finished = outcome is Outcome.OK or bool(over) or entry.number not in self._owed
-        self._journal_outcome(entry, outcome)
+        ended = self.loop.now()
+        self._journal_outcome(entry, outcome, ended, wait_ms)
+        if self.tracer is not None:
+            self.tracer.settled(execution, entry, outcome, wait_ms, ended)
         if outcome is Outcome.OK or over:
             self._decide(entry, over or DELIVERED)
         now = self.loop.now()
@@ -304,14 +354,22 @@
         told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
         return execution.sent <= told and self.loop.now() < until
 
+    def told_wait(self, dest: str) -> float:
+        """Until when the wait runs that a destination has told; 0 where none was."""
+        return self._silent.get(f"destination {dest}", (0.0, 0.0))[1]
+
+    def dest_number(self, name: str) -> int:
+        """The number by which the Controller knows a destination."""
+        return self._dest(name)
+
     def _route(self, instance: Instance) -> str:
         """What shares a wait: a destination, or one instance where its kind has routes apart."""
         apart = self.settings.kinds[self._kinds.get(instance.kind, 0)].routes_apart
         return f"instance {instance.name}" if apart else f"destination {instance.dest}"
 
-    def _journal_outcome(self, entry: Entry, outcome: Outcome) -> None:
+    def _journal_outcome(self, entry: Entry, outcome: Outcome, at: float, wait_ms: float) -> None:
         try:
-            self.journal.outcome(entry, outcome.never_ran)
+            self.journal.outcome(entry, outcome.never_ran, self.wall(at), _NUMBERS[outcome], wait_ms)
         except Full as error:  # without the record a restart takes it that the execution may have run
             log.error("outcome not written", extra={"id": entry.id, "why": str(error)})
 
@@ -345,6 +403,8 @@
         for executions in sends.values():
             for execution in executions:
                 self._begin(execution)
+        if self.tracer is not None:
+            self.tracer.turned(events, now)
 
     def _carry_out(self, action: api.Action, now: float, sends: dict[str, list[Execution]]) -> None:
         if isinstance(action, api.Send):
@@ -381,15 +441,19 @@
     def _begin(self, execution: Execution) -> None:
         for entry in execution.parts:
             self._out[entry.number] = execution
+        if self.tracer is not None:
+            self.tracer.begins(execution)
         try:
             self.journal.started(execution.parts, self.wall(execution.sent),
-                                 self._zones.get(execution.instance.zone, 0))
+                                 self._zones.get(execution.instance.zone, 0), execution.instance.name)
         except Full as error:  # an execution that the journal does not know must not begin
             log.error("execution not begun", extra={"why": str(error)})
             for entry in execution.parts:
                 entry.attempts += 1  # the Controller counts it
                 self.report(execution, entry, Outcome.MOOT)
             return
+        if self.tracer is not None:
+            self.tracer.begun(execution)
         self.carriers[execution.instance.carrier].execute(execution)
 
     # Ends
@@ -406,6 +470,8 @@
             log.error("end not written", extra={"id": entry.id, "why": str(error)})
             entry.state, entry.after_ms, entry.keep_until = state, after_ms, keep_until
         log.debug("ended", extra={"id": entry.id, "state": state, "after": after_ms})
+        if self.tracer is not None:
+            self.tracer.decided(entry)
         self._tell(entry)
 
     def _tell(self, entry: Entry) -> None:
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -5,7 +5,9 @@
 a torn end is cut off, whatever came before it counts.
 
 A record is a kind, a length, a checksum and a payload. `TAKEN` holds an entry whole; the others name an entry
-by number. Rewriting puts the live entries into a new file that then takes the old one's name, so the room for
+by number. Where a message is traced, what its trace needs after a restart stands behind what the record holds
+anyway, so that tracing costs no write of its own. Rewriting puts the live entries into a new file that then
+takes the old one's name, so the room for
 both is kept free. Times in the file are wall-clock milliseconds, since no other clock survives a restart.
 """
 
@@ -15,8 +17,9 @@
 import logging
 import os
 import struct
+import time
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Optional
 
@@ -25,9 +28,12 @@
 _OUTCOME = struct.Struct("<Q?")    # number, proven not to have run
 _DECIDED = struct.Struct("<Qdd")   # number, advice, keep until; then the state's name
 _ENDED = struct.Struct("<Q")
+_TRACED = struct.Struct("<dBf")    # behind an outcome, where traced: time, its number, told wait
 TAKEN, STARTED, OUTCOME, DECIDED, ENDED = range(1, 6)
 
 RESERVE = 640        # room kept for what is still to be written about an entry: eight executions and its end
+TRACED_RESERVE = 1280  # and for what a traced message's history adds to that
+NAME_MOST, HISTORY_MOST = 60, 24  # bytes of an instance's name in the history, and its lines
 _BLOCK = 512         # files are counted in whole blocks
 _MARGIN = 32 * 1024  # kept free of the disk's limit
 log = logging.getLogger(__name__)
@@ -60,13 +66,18 @@
     state: str = ""                    # how it ended, once that is decided
     after_ms: float = 0.0
     keep_until: float = 0.0            # the outcome is remembered until then
+    trace: str = ""                    # the message's place in a trace; empty where it is not traced
+    # Of a traced message: each execution's begin, instance, outcome (by number), end and told wait; and with
+    # no instance, from when to when no process was there.
+    history: list[list[Any]] = field(default_factory=list)
 
     _KEPT = ("number", "id", "front", "cls", "dest", "tenant", "key", "deadline", "retried", "envelope",
              "attempts", "out_since", "out_zone", "ran_at", "ran_zone", "state", "after_ms",
              "keep_until")
 
     def pack(self) -> bytes:
-        head = json.dumps({name: getattr(self, name) for name in self._KEPT}, separators=(",", ":")).encode()
+        kept = self._KEPT + ("trace", "history") if self.trace else self._KEPT
+        head = json.dumps({name: getattr(self, name) for name in kept}, separators=(",", ":")).encode()
         return struct.pack("<I", len(head)) + head + self.body
 
     @classmethod
@@ -75,19 +86,25 @@
         fields: dict[str, Any] = json.loads(data[4:4 + size])
         return cls(body=data[4 + size:], **fields)
 
-    def started(self, at: float, zone: int) -> None:
+    def started(self, at: float, zone: int, instance: str = "") -> None:
         self.attempts, self.out_since, self.out_zone = self.attempts + 1, at, zone
+        if self.trace and len(self.history) < HISTORY_MOST:
+            self.history.append([at, instance, 0, at, 0.0])
 
-    def outcome(self, never_ran: bool) -> None:
+    def outcome(self, never_ran: bool, at: float = 0.0, number: int = 0, told: float = 0.0) -> None:
         if not never_ran and self.ran_at is None:
             self.ran_at, self.ran_zone = self.out_since, self.out_zone
+        if number and self.history and self.history[-1][0] == self.out_since:
+            self.history[-1][2:] = number, at, told
         self.out_since = None
 
 
 class Journal:
     """The file and its live entries."""
 
-    def __init__(self, folder: Path, room: int) -> None:
+    def __init__(self, folder: Path, room: int, now: Optional[float] = None) -> None:
+        """Read what `folder` holds and go on in it; `now` is wall-clock milliseconds."""
+        self._now = time.time() * 1000.0 if now is None else now
         self._path, self._new = folder / "journal", folder / "journal.new"
         self.limit(room)
         self.entries: dict[int, Entry] = {}
@@ -110,25 +127,30 @@
         """Write down a message and number it, or raise `Full`."""
         entry.number = self._next
         record = _frame(TAKEN, entry.pack())
-        if 2 * (self._live + len(record) + RESERVE) > self._budget:
+        if 2 * (self._live + len(record) + _reserve(entry)) > self._budget:
             raise Full(f"the journal holds {len(self.entries)} messages and has room for no more")
         self._room(len(record))
         self._write(record)
         self._next += 1
         self._add(entry, len(record))
 
-    def started(self, entries: list[Entry], at: float, zone: int) -> None:
-        """Write down that an execution begins, before it does."""
-        data = b"".join(_frame(STARTED, _STARTED.pack(entry.number, at, zone)) for entry in entries)
+    def started(self, entries: list[Entry], at: float, zone: int, instance: str = "") -> None:
+        """Write down that an execution begins, before it does; and where, for messages that are traced."""
+        name = instance.encode()[:NAME_MOST]
+        heads = ((_STARTED.pack(entry.number, at, zone), entry.trace) for entry in entries)
+        data = b"".join(_frame(STARTED, head + name if traced else head) for head, traced in heads)
         self._room(len(data))
         self._write(data)
         for entry in entries:
-            entry.started(at, zone)
+            entry.started(at, zone, name.decode("utf-8", "ignore"))
 
-    def outcome(self, entry: Entry, never_ran: bool) -> None:
-        data = _frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran))
+    def outcome(self, entry: Entry, never_ran: bool, at: float = 0.0, number: int = 0,
+                told: float = 0.0) -> None:
+        """Write down how an execution ended; `at`, the outcome's `number` and `told` for traced messages."""
+        more = _TRACED.pack(at, number, told) if entry.trace else b""
+        data = _frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more)
         self._room(len(data))
-        entry.outcome(never_ran)
+        entry.outcome(never_ran, at, number if entry.trace else 0, told)
         self._write(data)
 
     def decided(self, entry: Entry, state: str, after_ms: float, keep_until: float = 0.0) -> None:
@@ -157,8 +179,8 @@
 
     def _add(self, entry: Entry, size: int) -> None:
         self.entries[entry.number] = entry
-        self._sizes[entry.number] = size + RESERVE
-        self._live += size + RESERVE
+        self._sizes[entry.number] = size + _reserve(entry)
+        self._live += size + _reserve(entry)
 
     def _room(self, wanted: int) -> None:
         """Guards the disk limit: old and new file must fit together when the journal is next rewritten."""
@@ -191,7 +213,9 @@
         self._file, self._size = file, size
 
     def _load(self) -> None:
-        data = self._path.read_bytes() if self._path.exists() else b""
+        data, left = b"", 0.0
+        if self._path.exists():
+            data, left = self._path.read_bytes(), self._path.stat().st_mtime * 1000.0
         at = 0
         while at + _HEAD.size <= len(data):
             kind, size, check = _HEAD.unpack_from(data, at)
@@ -205,6 +229,8 @@
         for entry in self.entries.values():
             if entry.out_since is not None:  # out when the process ended: it may have run
                 entry.outcome(False)
+            if entry.trace and len(entry.history) < HISTORY_MOST:
+                entry.history.append([left, "", 0, self._now, 0.0])
 
     def _replay(self, kind: int, payload: bytes) -> None:
         if kind == TAKEN:
@@ -215,9 +241,11 @@
         if found is None:
             return
         if kind == STARTED:
-            found.started(*_STARTED.unpack(payload)[1:])
+            _, begun, zone = _STARTED.unpack_from(payload)
+            found.started(begun, zone, payload[_STARTED.size:].decode("utf-8", "ignore"))
         elif kind == OUTCOME:
-            found.outcome(_OUTCOME.unpack(payload)[1])
+            more = _TRACED.unpack_from(payload, _OUTCOME.size) if len(payload) > _OUTCOME.size else ()
+            found.outcome(_OUTCOME.unpack_from(payload)[1], *more)
         elif kind == DECIDED:
             _, found.after_ms, found.keep_until = _DECIDED.unpack_from(payload)
             found.state = payload[_DECIDED.size:].decode()
@@ -229,6 +257,10 @@
         os.close(self._file)
 
 
+def _reserve(entry: Entry) -> int:
+    return RESERVE + TRACED_RESERVE if entry.trace else RESERVE
+
+
 def _frame(kind: int, payload: bytes) -> bytes:
     return _HEAD.pack(kind, len(payload), zlib.crc32(payload)) + payload
 
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import email.message
 import email.parser
 import email.utils
 import hashlib
@@ -122,6 +123,7 @@
     sender: str
     tenant: str
     recipients: list[tuple[str, config.Rule]] = field(default_factory=list)
+    began: float = 0.0  # on the loop's clock
 
 
 class MailFront:
@@ -195,7 +197,12 @@
         return self.exchange.take(Command(
             identity(envelope.sender, recipients, body), "mail", rule.cls, rule.dest, envelope.tenant, "",
             self.loop.now() + (cls.deadline_ms if cls else 0.0), body,
-            envelope=json.dumps({"from": envelope.sender, "to": recipients})))
+            envelope=json.dumps({"from": envelope.sender, "to": recipients}), began=envelope.began,
+            traceparent=self._told(body, "Traceparent"), tracestate=self._told(body, "Tracestate")))
+
+    def _told(self, body: bytes, name: str) -> str:
+        """What the message's header says of its trace, where tracing is on."""
+        return str(head_of(body).get(name, "")) if self.exchange.tracer is not None else ""
 
     def end_of(self, taken: Entry | Nack) -> Coroutine[tuple[int, str]]:
         """Wait for the one end of a message and word it as a reply."""
@@ -229,8 +236,7 @@
 
 def identity(sender: str, recipients: list[str], body: bytes) -> str:
     """The same for a message that is sent again; without a Message-ID every sending is new."""
-    head = email.parser.BytesHeaderParser().parsebytes(re.split(rb"(?:^|\r\n)\r\n", body, maxsplit=1)[0])
-    name = str(head.get("Message-ID", "")).strip() or uuid.uuid4().hex
+    name = str(head_of(body).get("Message-ID", "")).strip() or uuid.uuid4().hex
     parts = "\0".join([sender, *sorted(recipients), name])
     return hashlib.sha256(parts.encode("utf-8", "replace")).hexdigest()
 
@@ -319,7 +325,7 @@
         tenant = self.front.tenant(address)
         if tenant is None:
             return (yield from self._err(550, "5.7.1 sender unknown here"))
-        self.envelope = Envelope(address, tenant)
+        self.envelope = Envelope(address, tenant, began=self.loop.now())
         yield from self._say(250, "2.1.0 ok")
         return True
 
@@ -365,7 +371,8 @@
                 yield from self._say(*fault)
             return True
         body = self._trace() + bytes(reader.body)
-        parts = [Envelope(envelope.sender, envelope.tenant, [one]) for one in envelope.recipients]
+        parts = [Envelope(envelope.sender, envelope.tenant, [one], envelope.began)
+                 for one in envelope.recipients]
         taken = [self.front.take(part, body) for part in (parts if self.lmtp else [envelope])]
         for one in taken:
             yield from self._say(*(yield from self.front.end_of(one)))
@@ -426,6 +433,7 @@
         self.connection, self.lmtp, self.name = connection, lmtp, name
         self.extensions: dict[str, str] = {}
         self.reusable_now = self.written = False
+        self.execution: Optional[Execution] = None  # is told when things happened
 
     @property
     def reusable(self) -> bool:
@@ -490,9 +498,13 @@
         check()
         yield from self.connection.send(stuffed(body), until)
         self.written = True
-        answers = []
+        if self.execution is not None:
+            self.execution.written = self.connection.loop.now()
+        answers: list[tuple[int, str]] = []
         for _ in recipients if self.lmtp else [None]:
             code, texts = yield from self.reply(until)
+            if self.execution is not None and not answers:
+                self.execution.first = self.connection.loop.now()
             answers.append((code, " ".join(texts)))
         self.reusable_now = all(code != 421 for code, _ in answers)
         return answers
@@ -561,8 +573,12 @@
                 lmtp = execution.instance.name.startswith("lmtp:")
                 client = MailClient(connection, lmtp, self.setup.hostname)
                 yield from client.greet(until)
+            client.execution = execution
+            body = entry.body
+            if self.setup.trace_headers:
+                body = with_headers(body, self.exchange.trace_headers(execution))
             answers = yield from client.deliver(
-                envelope["from"], envelope["to"], entry.body, until, lambda: self._check(execution))
+                envelope["from"], envelope["to"], body, until, lambda: self._check(execution))
             outcome, wait, over = verdict(answers)
         except Declined as error:
             outcome, wait, over = judge(error.code, error.text, error.early)
@@ -595,5 +611,22 @@
     return outcome, max(wait_in(text) for code, text in bad) if outcome is Outcome.FULL else wait, over
 
 
+def head_of(body: bytes) -> email.message.Message:
+    """The header fields of a message."""
+    return email.parser.BytesHeaderParser().parsebytes(re.split(rb"(?:^|\r\n)\r\n", body, maxsplit=1)[0])
+
+
+def with_headers(body: bytes, headers: list[tuple[str, str]]) -> bytes:
+    """The message with these header fields in front, in place of any it has of these names."""
+    for name, _ in headers:
+        field = rb"%s[ \t]*:[^\r]*\r\n(?:[ \t][^\r]*\r\n)*" % re.escape(name.encode())
+        end = body.find(b"\r\n\r\n") + 2
+        body = re.sub(rb"(?im)^" + field, b"", body[:end]) + body[end:]
+    lines = "".join(f"{name.title()}: {value}\r\n" for name, value in headers).encode()
+    if not headers or re.match(rb"[!-9;-~]+[ \t]*:|\r\n", body):
+        return lines + body
+    return lines + b"\r\n" + body  # it had no header fields at all
+
+
 def instance_name(instance: config.MailInstance) -> str:
     return f"{instance.protocol}:{instance.dest}:{instance.address[0]}:{instance.address[1]}"
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -137,6 +137,7 @@
     headers: dict[str, str]
     body: bytes
     read_at: float
+    began: float = 0.0  # its first byte was there
 
 
 class Server:
@@ -189,6 +190,8 @@
                 if taken is not None:
                     self.exchange.withdraw(taken)
                 raise
+            if taken is not None:
+                self.exchange.answered(taken)
             if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return
             http.start_next_cycle()
@@ -197,7 +200,8 @@
                  used: bool) -> Coroutine[Optional[Request]]:
         """Read one request; None at the end of the connection."""
         head: Optional[h11.Request] = None
-        body, until = bytearray(), self.loop.now() + (IDLE_MS if used else REQUEST_MS)
+        began = self.loop.now()
+        body, until = bytearray(), began + (IDLE_MS if used else REQUEST_MS)
         while True:
             try:
                 event = http.next_event()
@@ -215,7 +219,8 @@
                 finally:
                     self.listener.wake(connection)
                 if idle:
-                    until = self.loop.now() + REQUEST_MS
+                    began = self.loop.now()
+                    until = began + REQUEST_MS
                 try:
                     http.receive_data(data)
                 except h11.RemoteProtocolError as error:
@@ -234,7 +239,7 @@
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
                 return Request(head.method.decode(), head.target.decode().partition("?")[0], headers,
-                               bytes(body), self.loop.now())
+                               bytes(body), self.loop.now(), began)
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
 
@@ -253,6 +258,7 @@
         if (state := self._past.get(command.id)) is not None:
             return (202 if state == DELIVERED else 409), [], None
         if not self.exchange.serves(command.dest):
+            self.exchange.refuse(command, "no such destination")
             if self.exchange.listed:
                 raise Refused(404, f"no destination {command.dest}")
             return 503, [("Retry-After", f"{NACK_MS / 1000.0:.3f}")], None
@@ -279,7 +285,9 @@
         if (needs_key or key) and not _ID.match(key.encode("latin-1")):
             raise Refused(400, "Idempotency-Key is missing or malformed")
         return Command(id, "platform", name, dest, tenant, key, request.read_at + timeout, request.body,
-                       "client-retry" in headers)
+                       "client-retry" in headers, began=request.began,
+                       traceparent=headers.get("traceparent", ""), tracestate=headers.get("tracestate", ""),
+                       handed=headers.get("x-request-start", ""))
 
     def _reply(self, connection: Connection, http: h11.Connection, status: int,
                headers: list[tuple[str, str]]) -> Coroutine[None]:
@@ -345,6 +353,7 @@
         self._waiting: deque[Entry] = deque()
         self._more = Signal()
         self.told: Callable[[Entry], None] = lambda entry: None
+        self.untold: Callable[[Entry], None] = lambda entry: None
 
     def add(self, entry: Entry) -> None:
         self._waiting.append(entry)
@@ -369,6 +378,8 @@
                     self._waiting.popleft()
                     self.told(entry)
                 continue
+            for entry in lines:
+                self.untold(entry)
             if status:
                 log.error("notice refused", extra={"status": status, "lines": len(lines)})
                 most = 1  # guards the others against one that is not understood
@@ -399,6 +410,7 @@
     body: bytearray = field(default_factory=bytearray)
     most: int = BODY_MOST
     on_head: Callable[[], float] = lambda: FOREVER  # tells how long the rest may take
+    execution: Optional[Execution] = None  # is told when things happened
 
 
 class HttpClient:
@@ -421,12 +433,16 @@
         data.append(self.http.send(h11.EndOfMessage()))
         yield from self.connection.send(b"".join(part or b"" for part in data), until)
         reply.written = True
+        if reply.execution is not None:
+            reply.execution.written = self.connection.loop.now()
         start = b""
         while True:
             try:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
                     received = yield from self.connection.receive(until)
+                    if reply.execution is not None and not reply.execution.first and received:
+                        reply.execution.first = self.connection.loop.now()
                     start = start if reply.status else (start + received)[:64]
                     self.http.receive_data(received)
             except h11.RemoteProtocolError as error:
@@ -466,7 +482,7 @@
 
     def _converse(self, client: Optional[HttpClient],
                   execution: Execution) -> Coroutine[Optional[HttpClient]]:
-        reply, instance = Reply(), execution.instance
+        reply, instance = Reply(execution=execution), execution.instance
         outcome = Outcome.CONNECT_FAILED
         try:
             if client is None:
@@ -491,13 +507,14 @@
         wait = f"{max(1, round(execution.until - self.loop.now()))}m"
         if len(execution.parts) > 1:
             body = encode_batch(execution.parts)
-            headers = [("Request-Timeout", wait)]
+            headers = [("Request-Timeout", wait), *self.exchange.trace_headers(execution)]
             yield from client.ask("POST", "/hook/batch", headers, body, execution.until, reply)
             return
         entry = execution.parts[0]
         headers = [("Request-Id", entry.id), ("Request-Timeout", wait)]
         if entry.key:
             headers.insert(1, ("Idempotency-Key", entry.key))
+        headers += self.exchange.trace_headers(execution)
         reply.on_head = lambda: self._first(execution, reply)
         yield from client.ask("POST", "/hook", headers, entry.body, execution.until, reply)
 
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -90,6 +90,7 @@
         client: Optional[C] = None
         try:
             held = self._reuse(name)
+            execution.reused = held is not None
             client = yield from self._converse(held, execution)
         finally:
             self._tasks.pop(id(execution), None)
@@ -110,6 +111,7 @@
         limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms)
         connection = yield from connect(self.loop, execution.instance.address, limit)
         self._made[id(execution)] = connection
+        execution.connected = self.loop.now()
         return connection
 
     def _report_all(self, execution: Execution, outcome: Outcome) -> None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -120,6 +120,17 @@
     assert len(notes.exchange.instances) <= 2
 
 
+def test_two_whole_lists_in_one_turn_forget_nothing_that_is_still_named(notes: Notes) -> None:
+    """Guards a message against a send to an instance that the Controller, but not the exchange, still knows."""
+    for instances in ([HUB], [], [], []):
+        notes.exchange.instances_known(api.ListKind.FULL, instances)
+    take(notes, "a")
+    rest(notes)
+    notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+    rest(notes)
+    assert [e.parts[0].id for e in notes.executions] == ["a"]
+
+
 def test_an_instance_that_is_told_to_be_gone_is_forgotten_with_its_connections(notes: Notes) -> None:
     """Guards memory on long days, when new instances replace old ones all the time."""
     closed = list[str]()
