Give operators' files a language, checked and compared; serve mail from a set

Need: endpoint lists, limits and class rules are edited by hand, and mistakes show up only as refusals in service.

Change: config.py becomes the package ashvale/config: TOML with positions (tree-sitter), includes, constants, units, defaults and overrides, declarations as msgspec structs from which JSON Schema and reference are made, a checker with a stable code and a place for each mistake, a layout, a difference by meaning. ashvale/routing: router (a hash table for each shape of route), pools by weighted rendezvous hashing with tiers and spill, limits with GCRA rates and retry budgets that a swap does not open; pure, not yet asked by the exchange. ashvale config check, explain, show, what-if, fmt, diff, convert, schema, reference. The mail front's file may be a set; a bad one on SIGHUP leaves the old in force. deploy/ashvale.toml has quantities with units.

--- a/ashvale/cli/__init__.py
+++ b/ashvale/cli/__init__.py
@@ -11,6 +11,7 @@
 
 import click
 
+from ashvale.cli.config import config
 from ashvale.cli.trace import trace
 
 NOTHING, UNREADABLE = 1, 2
@@ -24,6 +25,7 @@
 
 
 ashvale.add_command(trace)
+ashvale.add_command(config)
 
 
 @ashvale.command("import-haproxy")
--- /dev/null
+++ b/ashvale/config/__init__.py
@@ -0,0 +1,34 @@
+"""Configuration, read and checked in one place.
+
+`daemon` reads what one courier is told, and is all that a running courier loads. The language of operators'
+files is `text` (TOML with positions), `units`, `declare` (what may stand where), `reader` (includes,
+constants, overrides), `check` (what is wrong although it can be read) and `codes` (a page for each mistake).
+"""
+
+from ashvale.config.daemon import (
+    MAIL_CLASS,
+    MAIL_KIND,
+    OWN_FILE,
+    Config,
+    ConfigError,
+    Limits,
+    Listen,
+    Mail,
+    MailInstance,
+    Platform,
+    Rule,
+    Trace,
+    address,
+    get,
+    load,
+    mail,
+    parse,
+    read_toml,
+    settings,
+    trace,
+    with_mail,
+)
+
+__all__ = ["MAIL_CLASS", "MAIL_KIND", "OWN_FILE", "Config", "ConfigError", "Limits", "Listen", "Mail",
+           "MailInstance", "Platform", "Rule", "Trace", "address", "get", "load", "mail", "parse",
+           "read_toml", "settings", "trace", "with_mail"]
--- a/ashvale/config.py
+++ b/ashvale/config/daemon.py
@@ -16,11 +16,12 @@
 from typing import Any, Optional
 
 from ashvale import interface as api
+from ashvale.config import units
 
 _EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 _MISSING = object()
-MAIL_FILE = Path(__file__).parent.parent / "deploy" / "mail.toml"
-OWN_FILE = Path(__file__).parent.parent / "deploy" / "ashvale.toml"
+MAIL_FILE = Path(__file__).parent.parent.parent / "deploy" / "mail.toml"
+OWN_FILE = Path(__file__).parent.parent.parent / "deploy" / "ashvale.toml"
 DISK_MB, SOCKETS = 3, 1024  # taken where the deployment states no limit
 
 
@@ -122,7 +123,7 @@
     Read `anew` by a running process, the file's `discovery` overrules the environment, which cannot change.
     """
     file = Path(environ.get("ASHVALE_MAIL") or MAIL_FILE)
-    root = read_toml(file) if file.exists() or "ASHVALE_MAIL" in environ else {}
+    root = _set_or_tables(file, read_toml(file)) if file.exists() or "ASHVALE_MAIL" in environ else {}
     front = mail(root, file.name)
     if front is not None and sum(where.most for where in front.listen) > SOCKETS // 2:
         raise ConfigError(f"{file.name}: key 'connections' adds up to more than {SOCKETS // 2}")
@@ -141,10 +142,21 @@
         settings=with_mail(None, front), platform=None, mail=front), environ)
 
 
-_OWN_KEYS = {"trace": {"enabled", "folder", "budget_kb", "age_h", "share", "slowest", "details", "live",
+_OWN_KEYS = {"trace": {"enabled", "folder", "budget", "age", "share", "slowest", "details", "live",
                        "mail_headers"}}
 
 
+def _quantity(table: Any, key: str, kind: str, default: str, least: float, what: str) -> float:
+    """A text with a unit, in the language's base units."""
+    value = units.read(get(table, key, str, default, what), kind)
+    if isinstance(value, units.Fault):
+        meant = f", meant: {value.meant}" if value.meant else ""
+        raise ConfigError(f"{what}: key '{key}': {value.what}{meant}")
+    if value < least:
+        raise ConfigError(f"{what}: key '{key}' is below {units.write(least, kind)}")
+    return value
+
+
 def _with_trace(told: Config, environ: Mapping[str, str]) -> Config:
     """Add what the operator's own file says of tracing."""
     file = Path(environ.get("ASHVALE_SETTINGS") or OWN_FILE)
@@ -166,21 +178,36 @@
         if key not in _OWN_KEYS["trace"]:
             raise ConfigError(f"{where}: unknown key '{key}'")
     folder = Path(get(table, "folder", str, "", where) or told.state / "trace")
-    share = _least(table, "share", float, 0.01, 0.0, where)
+    share = _quantity(table, "share", "share", "1 %", 0.0, where)
     if share > 1.0:
-        raise ConfigError(f"{where}: key 'share' is {share:g}, at most 1 was expected")
+        raise ConfigError(f"{where}: key 'share' is above 100 %")
     found = Trace(
-        folder, int(_least(table, "budget_kb", float, 512.0, 66.0, where) * 1000),
-        _least(table, "age_h", float, 72.0, 0.01, where) * 3.6e6, share,
+        folder, int(_quantity(table, "budget", "size", "512 KB", 66000.0, where)),
+        _quantity(table, "age", "time", "72 h", 1000.0, where), share,
         _least(table, "slowest", int, 2, 0, where), _least(table, "details", int, 20, 0, where),
         _least(table, "live", int, 4096, 1, where), get(table, "mail_headers", bool, False, where))
     if not get(table, "enabled", bool, False, where):
         return None
     if 2 * replace(told, trace=found).journal_bytes < told.limits.disk_bytes:
-        raise ConfigError(f"{where}: key 'budget_kb' leaves the journal less than half of the disk")
+        raise ConfigError(f"{where}: key 'budget' leaves the journal less than half of the disk")
     return found
 
 
+SET_TABLES = {"include", "let", "courier", "partner", "pool", "route", "network", "policy", "limit",
+              "default", "override"}
+
+
+def _set_or_tables(file: Path, root: Any) -> Any:
+    """A set of the language as the tables below; what reads it is loaded only for a set."""
+    if not SET_TABLES & root.keys():
+        return root
+    try:
+        from ashvale.config import mailset
+    except ImportError as error:
+        raise ConfigError(f"{file.name}: a set needs the extra 'kit', without {error.name}") from None
+    return mailset.read_set(file)
+
+
 def read_toml(file: Path) -> Any:
     try:
         return tomllib.loads(file.read_text())
--- /dev/null
+++ b/ashvale/config/mailset.py
@@ -0,0 +1,222 @@
+"""The mail front from a set, and a set from the mail front's older file.
+
+It owns both translations and must never lose anything on the way: what one form cannot say is an error that
+names it. A set becomes the older file's tables, which `daemon` reads and checks as before, so that both forms
+mean the same to a courier.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from ashvale.config import units
+from ashvale.config.check import check, errors
+from ashvale.config.daemon import ConfigError
+from ashvale.config.reader import Entry, Files, Loaded, load
+
+POLICY = "mail"
+
+
+def files_below(root: Path) -> Files:
+    """The files of a set, as the reader names them: by their path below the folder of its first file."""
+    def names(folder: str) -> list[str]:
+        return [path.relative_to(root).as_posix() for path in (root / folder).rglob("*") if path.is_file()]
+
+    return Files(lambda name: (root / name).read_bytes(), names)
+
+
+def read_set(file: Path) -> dict[str, Any]:
+    """A set on disk as the older file's tables; `ConfigError` tells the first mistake of it."""
+    made = load(file.name, files_below(file.parent))
+    if bad := errors(check(made)):
+        more = f" (and {len(bad) - 1} more: ashvale config check)" if len(bad) > 1 else ""
+        raise ConfigError(f"{bad[0].place}: {bad[0].code} {bad[0].what}{more}")
+    return tables(made)
+
+
+# A set as the older tables
+
+
+def tables(made: Loaded) -> dict[str, Any]:
+    """The older file's tables that mean what the set means."""
+    courier = made.single.get("courier")
+    root: dict[str, Any] = {"enabled": bool(made.listen) and (courier is None or courier.data.mail)}
+    limits = root["limits"] = dict[str, Any]()
+    if courier is not None:
+        for key in ("hostname", "state"):
+            if key in courier.places:
+                root[key] = getattr(courier.data, key)
+        for key, name in (("slots", "slots"), ("held", "max_open"), ("recipients", "recipients"),
+                          ("sockets", "sockets")):
+            if key in courier.places:
+                limits[name] = getattr(courier.data, key)
+        for key, name, factor in (("message", "size", 1.0), ("client_idle", "client_idle_ms", 1.0),
+                                  ("disk", "disk_mb", 1e-6)):
+            if key in courier.places:
+                value = courier.amounts[key] * factor
+                limits[name] = value if key == "disk" else round(value)
+    _policy(made, limits)
+    root["listen"] = [{"protocol": x.data.protocol, "address": x.data.address,
+                       "connections": x.data.connections} for x in made.listen]
+    root["class"] = [_class(entry) for entry in made.entries["class"].values()]
+    root["tenant"], root["sender"] = [], []
+    for network in made.entries["network"].values():
+        tenant: dict[str, Any] = {"name": network.name}
+        if "share" in network.amounts:
+            tenant["share"] = network.amounts["share"]
+        if "rate" in network.amounts:
+            tenant["quota_per_s"] = network.amounts["rate"]
+        _only(network, {"share", "rate", "senders"})
+        root["tenant"].append(tenant)
+        root["sender"] += [{"match": match, "tenant": network.name} for match in network.data.senders]
+    root["destination"] = [_partner(entry) for entry in made.entries["partner"].values()]
+    root["recipient"] = [rule for route in made.routes for rule in _rules(route)]
+    for kind in ("pool", "limit"):
+        for entry in made.entries[kind].values():
+            what = f"{kind} '{entry.name}'"
+            raise ConfigError(f"{entry.place}: {what}: the mail front does not serve a {kind} yet")
+    return root
+
+
+def _only(entry: Entry, served: set[str]) -> None:
+    """Guards against keys that would silently do nothing."""
+    for key in entry.places:
+        if key not in served:
+            raise ConfigError(f"{entry.at(key)}: key '{key}': the mail front does not serve it yet")
+
+
+def _policy(made: Loaded, limits: dict[str, Any]) -> None:
+    used = {route.data.policy for route in made.routes}
+    if len(used) > 1:
+        raise ConfigError(f"{made.routes[0].place}: the mail front has one policy for all routes")
+    for name in used - {None}:
+        policy = made.entries["policy"][str(name)]
+        if "attempts" in policy.places:
+            limits["attempts"] = policy.data.attempts
+        for key, known in (("connect_timeout", "connect_timeout_ms"), ("keepalive", "keepalive_ms"),
+                           ("longest_wait", "max_wait_ms")):
+            if key in policy.places:
+                limits[known] = policy.amounts[key]
+
+
+def _class(entry: Entry) -> dict[str, Any]:
+    if entry.data.repeat == "keyed":
+        raise ConfigError(f"{entry.at('repeat')}: key 'repeat': mail partners keep no keys")
+    made = {"name": entry.name, "repeat": entry.data.repeat, "deadline_ms": entry.amounts["deadline"]}
+    for key, known in (("aim", "aim_ms"), ("remember", "window_ms"), ("late_worth", "late_worth")):
+        if key in entry.places:
+            made[known] = entry.amounts[key]
+    if "worth" in entry.places:
+        made["worth"] = entry.data.worth
+    return made
+
+
+def _partner(entry: Entry) -> dict[str, Any]:
+    _only(entry, {"rate", "endpoint", "kind"})
+    made: dict[str, Any] = {"name": entry.name, "instance": []}
+    if "rate" in entry.amounts:
+        made["rate"] = entry.amounts["rate"]
+    for endpoint in entry.parts.get("endpoint", []):
+        _only(endpoint, {"address", "protocol", "zone"})
+        made["instance"].append({"protocol": endpoint.data.protocol, "address": endpoint.data.address} | (
+            {"zone": endpoint.data.zone} if endpoint.data.zone else {}))
+    return made
+
+
+def _rules(route: Entry) -> list[dict[str, Any]]:
+    _only(route, {"name", "to", "as", "recipients", "policy"})
+    kind, _, name = (route.data.to or "").partition(" ")
+    if kind != "partner":
+        raise ConfigError(f"{route.place}: route '{route.name}': the mail front serves routes to partners")
+    if route.data.as_ is None:
+        raise ConfigError(f"{route.place}: route '{route.name}' has no key 'as': mail names no class")
+    return [{"match": match, "class": route.data.as_, "destination": name}
+            for match in route.data.recipients or ["*"]]
+
+
+# The older tables as a set
+
+
+def convert(root: dict[str, Any]) -> str:
+    """The older file's tables as a set's text, not yet laid out; `ConfigError` for what a set cannot say."""
+    lines = ["[courier]"]
+    limits = dict(root.get("limits", {}))
+    lines += [f"{key} = {_quoted(root[key])}" for key in ("hostname", "state") if key in root]
+    if not root.get("enabled", False):
+        lines.append("mail = false")
+    for name, key in (("slots", "slots"), ("max_open", "held"), ("recipients", "recipients"),
+                      ("sockets", "sockets")):
+        if name in limits:
+            lines.append(f"{key} = {limits[name]}")
+    for name, key, kind, factor in (
+            ("size", "message", "size", 1.0), ("client_idle_ms", "client_idle", "time", 1.0),
+            ("disk_mb", "disk", "size", 1e6)):
+        if name in limits:
+            lines.append(f"{key} = {_amount(limits[name] * factor, kind)}")
+    policy = [f"attempts = {limits['attempts']}"] if "attempts" in limits else []
+    times = (("connect_timeout_ms", "connect_timeout"), ("keepalive_ms", "keepalive"),
+             ("max_wait_ms", "longest_wait"))
+    policy += [f"{key} = {_amount(limits[name], 'time')}" for name, key in times if name in limits]
+    if policy:
+        lines += [f"[policy.{POLICY}]", *policy]
+    for listen in root.get("listen", []):
+        lines += ["[[listen]]", *(f"{key} = {_plain(value)}" for key, value in listen.items())]
+    for cls in root.get("class", []):
+        lines += [f"[class.{_key(cls['name'])}]", f"repeat = {_quoted(cls['repeat'])}"]
+        lines += [f"{key} = {_amount(cls[name], kind)}" for name, key, kind in (
+            ("aim_ms", "aim", "time"), ("deadline_ms", "deadline", "time"), ("window_ms", "remember", "time"),
+            ("late_worth", "late_worth", "share")) if name in cls]
+        lines += [f"worth = {cls['worth']}"] if "worth" in cls else []
+    lines += _networks(root)
+    for destination in root.get("destination", []):
+        name = _key(destination["name"])
+        lines += [f"[partner.{name}]"]
+        lines += [f"rate = {_amount(destination['rate'], 'rate')}"] if destination.get("rate") else []
+        for number, instance in enumerate(destination.get("instance", []), 1):
+            lines += [f"[partner.{name}.endpoint.e{number}]",
+                      *(f"{key} = {_plain(value)}" for key, value in instance.items())]
+    for number, rule in enumerate(root.get("recipient", []), 1):
+        lines += ["[[route]]", f"name = {_quoted(f'{number}: ' + rule['match'])}",
+                  f"recipients = [{_quoted(rule['match'])}]", f"as = {_quoted(rule['class'])}",
+                  f"to = {_quoted('partner ' + rule['destination'])}"]
+        lines += [f"policy = {_quoted(POLICY)}"] if policy else []
+    return "\n".join(lines) + "\n"
+
+
+def _networks(root: dict[str, Any]) -> list[str]:
+    """Networks with their senders; the order of rules counts, so a network's must stand together."""
+    order = [rule["tenant"] for rule in root.get("sender", [])]
+    runs = [name for at, name in enumerate(order) if at == 0 or order[at - 1] != name]
+    for name in runs:
+        if runs.count(name) > 1:
+            raise ConfigError(f"sender: those of tenant '{name}' stand in two places, and their order counts")
+    tenants = {tenant["name"]: tenant for tenant in root.get("tenant", [])}
+    lines = []
+    for name in [*runs, *(name for name in tenants if name not in runs)]:
+        tenant = tenants[name]
+        lines.append(f"[network.{_key(name)}]")
+        lines += [f"share = {_amount(tenant['share'], 'share')}"] if "share" in tenant else []
+        lines += [f"rate = {_amount(tenant['quota_per_s'], 'rate')}"] if tenant.get("quota_per_s") else []
+        senders = [rule["match"] for rule in root.get("sender", []) if rule["tenant"] == name]
+        lines += [f"senders = [{', '.join(map(_quoted, senders))}]"] if senders else []
+    return lines
+
+
+def _amount(value: float, kind: str) -> str:
+    return _quoted(units.write(value, kind))
+
+
+def _quoted(text: str) -> str:
+    """A basic string of TOML; a dollar sign in front is written twice, as it would name a constant."""
+    return json.dumps("$" + text if text.startswith("$") else text, ensure_ascii=False)
+
+
+def _plain(value: Any) -> str:
+    return _quoted(value) if isinstance(value, str) else str(value)
+
+
+def _key(name: str) -> str:
+    bare = name and all(char.isascii() and (char.isalnum() or char in "-_") for char in name)
+    return name if bare else json.dumps(name, ensure_ascii=False)
--- a/benchmarks/trace_cost.py
+++ b/benchmarks/trace_cost.py
@@ -84,7 +84,7 @@
             "name": "n1", "seed": "1f", "settings": settings, "known": discovery.whole(),
             "limits": {"disk_mb": 3, "sockets": 256}}))
         (folder / "own.toml").write_text("[trace]\n" if share is None else (
-            f"[trace]\nenabled = true\nshare = {share}\nbudget_kb = 1000\n"))
+            f"[trace]\nenabled = true\nshare = \"{share * 100:g} %\"\nbudget = \"1 MB\"\n"))
         process = subprocess.Popen(
             [sys.executable, "-m", "ashvale"], cwd=checkout, stderr=subprocess.PIPE, env={
                 **os.environ, "LB_CONFIG": str(folder / "config.json"), "LB_STATE": str(folder / "state"),
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -35,8 +35,8 @@
 
 def tracing(s: Scene, **keys: Any) -> None:
     """Turn tracing on for the courier that the scene starts next."""
-    text = "\n".join(f"{name} = {json.dumps(value)}" for name, value in {
-        "enabled": True, "share": 1.0, **keys}.items())
+    keys["share"] = f"{keys.get('share', 1.0) * 100.0:g} %"
+    text = "\n".join(f"{name} = {json.dumps(value)}" for name, value in {"enabled": True, **keys}.items())
     (s.folder / "own.toml").write_text(f"[trace]\n{text}\n")
     s.environ["ASHVALE_SETTINGS"] = str(s.folder / "own.toml")
 
@@ -360,7 +360,7 @@
 @pytest.mark.parametrize("told", [False, True])
 def test_mail_is_traced_and_its_body_stays_unless_the_file_says_otherwise(tmp_path: Path, told: bool) -> None:
     setup = tmp_path / "own.toml"
-    setup.write_text(f"[trace]\nenabled = true\nshare = 1.0\nmail_headers = {str(told).lower()}\n")
+    setup.write_text(f"[trace]\nenabled = true\nshare = '100 %'\nmail_headers = {str(told).lower()}\n")
     loop = Loop()
     partner = rehearsal.Partner(loop)
     file = tmp_path / "mail.toml"
@@ -580,12 +580,13 @@
 
 
 @pytest.mark.parametrize(("text", "key"), [
-    ("[trace]\nshare = 2.0", "share"), ("[trace]\nshare = -0.1", "share"),
-    ("[trace]\nbudget_kb = 10", "budget_kb"),
+    ("[trace]\nshare = '200 %'", "share"), ("[trace]\nshare = '-1 %'", "share"),
+    ("[trace]\nshare = 0.01", "share"), ("[trace]\nbudget = '10 KB'", "budget"),
+    ("[trace]\nbudget = '512'", "budget"),
     ("[trace]\nenabled = 1", "enabled"), ("[trace]\nfolder = 5", "folder"), ("[trace]\nshear = 1", "shear"),
     ("[tracing]\n", "tracing"), ("trace = 5", "trace"), ("[trace]\nslowest = -1", "slowest"),
-    ("[trace]\nage_h = 0", "age_h"), ("[trace]\nlive = 0", "live"), ("[trace]\ndetails = 1.5", "details"),
-    ("[trace]\nenabled = true\nbudget_kb = 2000", "budget_kb"), ("[trace\n", "TOML")])
+    ("[trace]\nage = '0 s'", "age"), ("[trace]\nlive = 0", "live"), ("[trace]\ndetails = 1.5", "details"),
+    ("[trace]\nenabled = true\nbudget = '2 MB'", "budget"), ("[trace\n", "TOML")])
 def test_a_wrong_key_is_named(tmp_path: Path, text: str, key: str) -> None:
     with scene() as s:
         s.environ["ASHVALE_SETTINGS"] = str(tmp_path / "own.toml")
@@ -598,7 +599,7 @@
     with scene() as s:
         s.start()
         assert s.courier.told.trace is None and s.courier.told.journal_bytes == 3_000_000
-        tracing(s, budget_kb=512)
+        tracing(s, budget="512 KB")
         s.again()
         assert s.courier.told.journal_bytes == 3_000_000 - 512_000
         assert request("rate-update", "x")
