Use the plan's own limits at the door, and count what is missing in one place

Cause: read once more, the change held a rule twice (Door._names and Plan.limits_of), looked a route up twice for one admission, counted missing traces in two loops (reader.read_all, cli stat), and kept a table that nothing used (recorder.OUTCOME_NUMBERS).

Change: the door calls Plan.limits_of with the route it has found; Stock.count serves both readers; the table is gone. Behaviour and tests are as before.

--- a/ashvale/cli/trace.py
+++ b/ashvale/cli/trace.py
@@ -189,12 +189,10 @@
     """What the folder holds, by courier and stream, and what is missing from it."""
     from ashvale.trace import show
     from ashvale.trace.reader import Stock, couriers, shelves
-    from ashvale.trace.store import Missing, read_missing
     root, stock = where(folder), Stock()
     show.shelf_table(shelves(root))
     for place in couriers(root):
-        for what, missing in read_missing(place).items():
-            stock.missing.setdefault(what, Missing()).add(missing.count, missing.first, missing.last)
+        stock.count(place)
     for line in show.missing_lines(stock):
         print(line)
 
--- a/ashvale/routing/build.py
+++ b/ashvale/routing/build.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Optional
 
 from ashvale.config.check import hours
 from ashvale.config.reader import Entry, Loaded
@@ -23,10 +24,11 @@
     destinations: dict[str, str]     # of partners, by name
     own: dict[tuple[str, str], str]  # limits of networks and partners, by kind and name
 
-    def limits_of(self, route: Route, partner: str, network: str) -> tuple[str, ...]:
+    def limits_of(self, route: Optional[Route], partner: str, network: str) -> tuple[str, ...]:
         """The limits that a message meets: its network's, its route's and pool's, its partner's."""
         own = (self.own.get(("network", network)), self.own.get(("partner", partner)))
-        return tuple(dict.fromkeys(name for name in (own[0], *route.limits, own[1]) if name))
+        return tuple(dict.fromkeys(name for name in (own[0], *(route.limits if route else ()), own[1])
+                                   if name))
 
 
 def plan(made: Loaded) -> Plan:
--- a/ashvale/routing/door.py
+++ b/ashvale/routing/door.py
@@ -13,7 +13,7 @@
 
 from ashvale.routing.build import Plan
 from ashvale.routing.limits import Limits
-from ashvale.routing.router import Facts
+from ashvale.routing.router import Facts, Route
 
 SOON_MS = 500.0  # when to come back where only the end of another message makes room
 
@@ -45,25 +45,22 @@
                       for number, names in self._held.items()}
         self._use(plan)
 
-    def _names(self, facts: Facts) -> tuple[str, ...]:
-        route = self.plan.router.find(facts)
-        partner = self._partners.get(facts.destination, "")
-        own = self.plan.own.get(("network", facts.network)), self.plan.own.get(("partner", partner))
-        return tuple(dict.fromkeys(n for n in (own[0], *(route.limits if route else ()), own[1]) if n))
+    def _names(self, facts: Facts, route: Optional[Route]) -> tuple[str, ...]:
+        return self.plan.limits_of(route, self._partners.get(facts.destination, ""), facts.network)
 
     def admit(self, facts: Facts, now: float) -> Optional[Refusal]:
         """Why a message is turned away; None where it may be taken on."""
         route = self.plan.router.find(facts)
         if route is not None and route.refuse_ms is not None:
             return Refusal(f"route {route.name}", route.refuse_ms)
-        for name in self._names(facts):
+        for name in self._names(facts, route):
             if not self._limits.meter(name, now).room():
                 return Refusal(f"limit {name}", SOON_MS)
         return None
 
     def hold(self, number: int, facts: Facts, now: float) -> None:
         """A message was taken on, or an earlier life of the process has left it."""
-        names = self._names(facts)
+        names = self._names(facts, self.plan.router.find(facts))
         if names and number not in self._held:
             self._held[number] = names
             for name in names:
--- a/ashvale/trace/reader.py
+++ b/ashvale/trace/reader.py
@@ -128,6 +128,11 @@
     damaged: int = 0
     missing: dict[str, Missing] = field(default_factory=dict)
 
+    def count(self, folder: Path) -> None:
+        """Add what one courier's folder says is missing."""
+        for what, missing in store.read_missing(folder).items():
+            self.missing.setdefault(what, Missing()).add(missing.count, missing.first, missing.last)
+
 
 def couriers(root: Path) -> list[Path]:
     """The couriers' folders under the folder that the settings name, or that folder itself."""
@@ -141,8 +146,7 @@
              id: Optional[str] = None, details: bool = True) -> Iterator[Trace]:
     """All traces that began within these times, each once; with `id` only those of this trace or message."""
     for folder in couriers(root):
-        for what, missing in store.read_missing(folder).items():
-            stock.missing.setdefault(what, Missing()).add(missing.count, missing.first, missing.last)
+        stock.count(folder)
         yield from _courier(folder, stock, since, until, id, details)
 
 
--- a/ashvale/trace/recorder.py
+++ b/ashvale/trace/recorder.py
@@ -33,7 +33,6 @@
 DESTS_MOST = 512    # destinations whose reasons are followed at once
 STARVED_MOST = 64   # of those without a slot, looked at again in one turn
 TIDY_MS = 30000.0
-OUTCOME_NUMBERS = {outcome: number for number, outcome in enumerate(Outcome, 1)}
 # While a message's own pause runs, these would not have held it: it was not ready to go.
 _YIELDS = frozenset({Reason.TURN, Reason.RING, Reason.NO_SLOT, Reason.PAUSE, Reason.SHED})
 log = logging.getLogger(__name__)
