Tell a full connection table from a limit, and hold no idle connection there

Forty couriers hold one idle connection each at every endpoint, which fills a short table; whoever finds it full took it for a limit (outcome_of, then Controller._refused) and halved N. Ruled out: the limit itself (direct at 180/s: 11 refusals of 2,089), an outage, the processor (0.22 of a core at most), descriptors (39 of 384).

Change: platform._crowded reports such an answer as the new outcome CROWDED, which never ran. The Controller neither paces nor marks the endpoint for it; it rests that endpoint alone for a jittered, doubling multiple of its usual time, and closes idle connections to that kind.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -325,8 +325,8 @@
         late = overdue(e, now)
         if e.out_since is None and late >= 2:
             self._went_out(e, now, e.calls[0].sent)
-        if e.out_since is not None:
-            return e.trial_at
+        if e.out_since is not None or e.rests_until > now:
+            return max(e.rests_until, e.trial_at if e.out_since is not None else 0.0)
         if len(e.calls) > late > 0:  # wait for what is out, until all of it is overdue
             return look if (look := e.calls[-1].sent + OVERDUE * e.lane.usual + 1.0) > now else 1e18
         grown = min(1.0, (now - e.ramp_from) / self.s.warm_up_ms)
@@ -454,11 +454,14 @@
             lane.usual = sum(lane.latencies) / len(lane.latencies)
             lane.margin = min(MARGIN_MS[2], max(MARGIN_MS[0], float(int(lane.usual * 1.1))))
             self._came_back(e, now)
+            e.crowds = 0
             e.ok_sent, e.last_ok = max(e.ok_sent, call.sent), now
             if event.report.get("x0", 1.0) > LEFT:
                 self._grow(lane, now)
         elif outcome is Outcome.FULL:
             self._refused(e, call.sent, event.wait_ms, now)
+        elif outcome is Outcome.CROWDED:
+            self._no_table(e, call, now)
         elif outcome is Outcome.CONNECT_FAILED and (e.calls or e.ok_sent >= call.sent > now - 2000.0):
             self.crowded.add(e.kind)  # others are served: the connection table is full, no outage
         elif outcome not in (Outcome.CANCELLED, Outcome.MOOT) and not call.lost:
@@ -515,6 +518,17 @@
             self._went_out(other, now, sent)
             self._next_trial(other, now + wait)
 
+    def _no_table(self, e: Endpoint, call: Call, now: float) -> None:
+        # Guards tables against idle connections of many, and pacing: what was turned away used no limit up.
+        if e.kind not in self.crowded:
+            self.crowded.add(e.kind)
+            self.actions += [api.CloseIdle(x.target) for x in self.endpoints.values() if x.kind == e.kind]
+        if call.sent in e.lane.ring:  # once for all messages of a call
+            e.lane.ring.remove(call.sent)
+            e.crowds += 1
+        pause = e.lane.usual * 2.0 ** min(e.crowds - 1, 3)
+        e.rests_until = now + min(pause, SPREAD_MS[1]) * self.random.uniform(0.5, 1.5)
+
     def _went_out(self, e: Endpoint, now: float, since: float) -> None:
         """Hold the endpoint to fail, from when the failed call was sent: only trials until one succeeds."""
         if e.out_since is None:
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -34,6 +34,7 @@
 NAMED_FROM = 1 << 20    # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
 _NUMBERS = {outcome: number for number, outcome in enumerate(Outcome, 1)}
+_NUMBERS[Outcome.CROWDED] = 10  # 9 stands for an attempt that was out, in the files of traces
 _FAILED = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
 log = logging.getLogger(__name__)
 
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -32,6 +32,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    CROWDED = "crowded"  # turned away as a connection too many: neither a limit nor an outage
 
     @property
     def never_ran(self) -> bool:
@@ -39,7 +40,7 @@
         return self in _NEVER_RAN
 
 
-_NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
+_NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.CROWDED})
 
 
 class Readiness(Enum):
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -535,9 +535,20 @@
         for entry in execution.parts:
             end = reply.status if ends is None else ends.get(entry.id, "")
             outcome, over = outcome_of(end, busy)
+            if outcome is Outcome.FULL and _crowded(execution, reply, wait):
+                outcome = Outcome.CROWDED
             self.exchange.report(execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy)
 
 
+def _crowded(execution: Execution, reply: Reply, wait: float) -> bool:
+    """Tell a full connection table from a limit: it turns a new connection away and ends it, with no wait.
+
+    Guards pacing: forty couriers' idle connections fill a short table, and each would take that for a limit.
+    """
+    ends = b"close" in reply.headers.get(b"connection", b"").lower()
+    return reply.status == 503 and ends and wait <= 0.0 and not execution.reused
+
+
 def outcome_of(end: int | str, busy: bool = False) -> tuple[Outcome, str]:
     """What a status, or a word of a batch's answer, says of a message; and its end where it is over."""
     if end in (200, "delivered"):
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -61,6 +61,8 @@
     trial_at: float = 0.0
     lossy_until: float = NEVER  # it loses answers, but is not out
     probing: bool = False
+    crowds: int = 0  # times in a row that its connection table was full
+    rests_until: float = NEVER  # nothing goes to it before, as its table was full
     unconnected: bool = False  # the last failure was a connection that did not come about
 
 
--- a/ashvale/trace/model.py
+++ b/ashvale/trace/model.py
@@ -89,7 +89,8 @@
 
 
 ENDS = {"delivered": End.DELIVERED, "returned": End.RETURNED, "failed": End.FAILED}
-OUTCOMES = ("", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "out")
+OUTCOMES = ("", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "out",
+            "crowded")
 """Outcomes of attempts by number; `out` when the process ended while the attempt was out."""
 
 
--- a/tests/rulebook.py
+++ b/tests/rulebook.py
@@ -8,7 +8,7 @@
 from ashvale.control import Controller
 from ashvale.interface import Effect, Outcome
 
-NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
+NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.CROWDED}
 
 
 class RuleBroken(AssertionError):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ashvale.exchange import Execution, Instance
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.net import platform, pool
@@ -48,6 +49,32 @@
     assert platform.outcome_of(end, busy) == (outcome, over)
 
 
+def test_a_full_connection_table_is_told_from_a_limit() -> None:
+    """Forty couriers hold idle connections; the one that finds no room must not pace its partner for it."""
+    full = b"HTTP/1.1 503 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    with scene() as s:
+        endpoint = s.endpoint(full, full, answer(200))
+        courier = s.start()
+        s.hand_in()
+        s.until(lambda: not courier.exchange._owed)
+        lane = courier.exchange.controller.endpoints[b"s-1"].lane
+        assert len(endpoint.calls) == 3 and lane.n is None and len(lane.ring) == 1
+        s.until(lambda: not courier.pool._idle)  # and its own goes at once
+
+
+@pytest.mark.parametrize(("data", "reused", "crowded"), [
+    (b"503 x\r\nConnection: close", False, True), (b"503 x\r\nConnection: close", True, False),
+    (b"503 x\r\nconnection: Close", False, True), (b"503 x", False, False),
+    (b"503 x\r\nConnection: close\r\nX-Come-Back-Ms: 9", False, False),
+    (b"429 x\r\nConnection: close", False, False)])
+def test_what_counts_as_a_full_table(data: bytes, reused: bool, crowded: bool) -> None:
+    status, _, rest = data.partition(b" x")
+    reply = platform.Reply(status=int(status), headers=dict(
+        (name.lower(), value) for name, value in (line.split(b": ") for line in rest.split(b"\r\n") if line)))
+    execution = Execution(Instance("s-1", "1", ("127.0.0.1", 1)), 0.0, 1.0, reused=reused)
+    assert platform._crowded(execution, reply, platform.wait_ms(reply.headers)) is crowded
+
+
 def test_batches_carry_any_bytes() -> None:
     entries = [Entry(1, "a1", "", "", "", "", "", 0.0, b"x\r\ny"),
                Entry(2, "b2", "", "", "", "", "k", 0.0, b"")]
