--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -8,7 +8,6 @@
 import logging
 import os
 import signal
-import socket
 import sys
 from collections.abc import Callable, Mapping
 from dataclasses import replace
@@ -288,10 +287,10 @@
         except ImportError as error:
             log.error("log stays as it is", extra={"why": f"not installed: {error.name}"})
 
-    woken, wake = socket.socketpair()
+    woken, wake = os.pipe()  # no socket pair: guards the start where Unix sockets are refused
     for end in (woken, wake):
-        end.setblocking(False)
-    signal.set_wakeup_fd(wake.fileno(), warn_on_full_buffer=False)
+        os.set_blocking(end, False)
+    signal.set_wakeup_fd(wake, warn_on_full_buffer=False)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # SIGHUP's own way would end the process
         signal.signal(number, lambda *_: None)
     try:
@@ -304,13 +303,13 @@
         return 2
 
     def signalled(_mask: int) -> None:
-        numbers = woken.recv(64)
+        numbers = os.read(woken, 64)
         if signal.SIGHUP in numbers:
             courier.reload(environ)
         if signal.SIGTERM in numbers or signal.SIGINT in numbers:
             courier.leave()
 
-    loop.watch(woken.fileno(), 1, signalled)
+    loop.watch(woken, 1, signalled)
     log.info("serving", extra={"pid": os.getpid(), **courier.addresses()})
     loop.run()
     if courier.exchange.tracer is not None:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -86,6 +86,17 @@
         assert sorted(call.headers["request-id"] for call in endpoint.calls) == ["m1", "m2"]
 
 
+def test_it_starts_and_follows_signals_where_unix_sockets_are_refused() -> None:
+    """Guards the start on a platform that answers ENOSYS to whatever is not TCP over IPv4."""
+    refuse = ("import errno, socket\n"
+              "def refused(*_args, **_more):\n    raise OSError(errno.ENOSYS, 'Function not implemented')\n"
+              "socket.socketpair = socket.fromfd = refused\n")
+    with scene() as s:
+        (s.folder / "sitecustomize.py").write_text(refuse)
+        program = Program(s, PYTHONPATH=os.pathsep.join([str(s.folder), os.getcwd()]))
+        assert "event=ended" in program.end(signal.SIGTERM) and program.process.returncode == 0
+
+
 def test_sigkill_leaves_all_that_was_taken_to_the_next_start() -> None:
     with scene() as s:
         first = Program(s)
