--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -143,7 +143,8 @@
             elif m := self.messages.get(number):
                 self._expire(m, now)
 
-    def _sleep(self, now: float) -> None:  # ask to be woken when the next thing comes due
+    def _sleep(self, now: float) -> None:
+        """Ask to be woken when the next thing comes due."""
         due = min(self.renew_at, self.due[0][0] if self.due else 1e18, self.calm_at if self.dirty else 1e18)
         if due < self.wake_at and due < 1e17:
             self.token, self.wake_at = (self.token + 1) & 0xFFFFFFFF, due
@@ -536,7 +537,8 @@
             e.out_since = since if now - e.ramp_from > self.s.warm_up_ms else now - MISHAP_MS
             e.trial_at, e.ramp_from = now + self.first_ms, -1e12
 
-    def _next_trial(self, e: Endpoint, now: float) -> None:  # of all endpoints that share the limit
+    def _next_trial(self, e: Endpoint, now: float) -> None:
+        """Set when the next trial or probe may go, of all endpoints that share the limit."""
         # Guards a returning destination against trials of many: what came in an outage waits somewhere. Tried
         # again after a multiple of the outage's length it adds up to a fixed part of the usual traffic.
         bears = RAMP_SHARE * self.s.overload_factor * self.s.cold_share * SPARE
