Look at a keyed message's window again when its call is written, not only when it is sent

The module checks the window (0.95 of it) when it decides a send; nothing looked again when the call was written. Under a cut a connection comes up at the system's second SYN, 1,000.7 to 1,001.0 ms later, which is past the window. Lines at fault: Pool._converse and MailClient.deliver, whose check before a write knew told waits alone. Ruled out before: sends that the module itself decided too late (none found).

Second place, found by reading: Connection.send raised Broken when the event that handed over the last byte also brought a reset, so an attempt that may have run counted as never run. It is now shown and mended.

Change: Send carries `by`, until when the module holds another attempt harmless; Exchange.may_write, which every carrier asks right before it writes, takes late parts out of a call (the others go on), and a connect is not waited for past the last part's time. A late part leaves at its time, so it is answered at once. Not taken: a margin in the module (it would give up calls on warm connections, nearly all, for the few cold ones).

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -279,19 +279,19 @@
         # Guards clients against silence: what a told wait or its own pause keeps too long is answered now.
         start = max(now + line, m.not_before, self._blocked(m.dest))
         late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts
-        if not (m.out or m.done) and (late or not self._may_repeat(m, start)):
+        if not (m.out or m.done) and (late or start >= self._repeat_by(m)):
             self._give_up(m, now)
 
-    def _may_repeat(self, m: Message, now: float) -> bool:
-        """Rule two for repeats: whether another attempt is still harmless, wherever it may go."""
+    def _repeat_by(self, m: Message) -> float:
+        """Rule two for repeats: until when another attempt is harmless, wherever it may go."""
         if m.maybe_ran is None or m.cls.effect is Effect.SAFE:
-            return True
-        return m.cls.effect is Effect.KEYED and now < m.maybe_ran[0] + 0.95 * m.cls.window_ms
+            return 1e18
+        return m.maybe_ran[0] + 0.95 * m.cls.window_ms if m.cls.effect is Effect.KEYED else -1e18
 
     def _may_send(self, m: Message, e: Endpoint, now: float) -> bool:
         """The guard of every send: rules two, three, five and six for this message and endpoint."""
         held = max(m.not_before, e.lane.blocked_until) > now or m.attempts >= self.s.max_attempts
-        if now >= self.closing_at or held or m.done or m.out or not (e.ready and self._may_repeat(m, now)):
+        if now >= self.closing_at or held or m.done or m.out or not e.ready or now >= self._repeat_by(m):
             return False
         if m.maybe_ran and m.cls.effect is Effect.KEYED and m.cls.group != "all" and e.zone != m.maybe_ran[1]:
             return False
@@ -409,7 +409,7 @@
         self.dests[m.dest].queue.remove(m)
         if self.leave is not None:
             self.leave.went(m.id, now)
-        self.actions.append(api.Send(m.id, e.target, until))
+        self.actions.append(api.Send(m.id, e.target, until, self._repeat_by(m)))
 
     def _settled(self, event: api.Settled, now: float) -> None:
         call = self.attempts.pop((event.message, event.attempt), None)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -101,6 +101,7 @@
     parts: list[Entry] = field(default_factory=list)
     attempts: list[int] = field(default_factory=list)
     open: set[int] = field(default_factory=set)
+    by: list[float] = field(default_factory=list)  # part by part, when its last byte has to be handed over
     # What its carrier tells of it, on the loop's clock; nought: it has not come to that.
     reused: bool = False
     connected: float = 0.0
@@ -458,14 +459,23 @@
         self._post(api.Settled(entry.number, attempt, execution.instance.name.encode(), outcome, took,
                                finished, wait_ms, no_slot))
 
-    def silenced(self, execution: Execution) -> bool:
-        """Tell whether a wait was told since the execution began, and still runs.
+    def may_write(self, execution: Execution) -> bool:
+        """Tell whether an execution may still be written; parts that may not leave it, as never run.
 
-        Carriers ask before they write. Guards the rule on waits where a connection takes long to come up:
-        what the Controller sent before it heard of the wait would arrive in the midst of it.
+        Carriers ask right before they write. Guards two rules where a connection takes long to come up: on
+        waits, as what the Controller sent before it heard of one would arrive in the midst of it; and on
+        repeats, as a window that held when the Controller chose may have closed (under a cut a connection
+        comes up at the system's second try, a second later).
         """
+        now = self.loop.now()
         told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
-        return execution.sent <= told and self.loop.now() < until
+        if execution.sent <= told and now < until:
+            return False
+        for at in [at for at, by in enumerate(execution.by) if now >= by][::-1]:
+            self.report(execution, execution.parts[at], Outcome.MOOT)
+            for parts in (execution.parts, execution.attempts, execution.by):
+                del parts[at]
+        return bool(execution.parts)
 
     def _heard(self, instance: str, now: float) -> None:
         """The Controller knows of a wait that an instance told, and sends no more by itself."""
@@ -562,6 +572,7 @@
         execution = calls[-1]
         execution.parts.append(entry)
         execution.attempts.append(entry.attempts)
+        execution.by.append(action.by)
         execution.open.add(entry.number)
         execution.until = min(execution.until, action.until)
 
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -244,11 +244,15 @@
 
 @dataclass(frozen=True)
 class Send:
-    """Call an endpoint with the message; the attempt is abandoned at `until`."""
+    """Call an endpoint with the message; the attempt is abandoned at `until`.
+
+    Its last byte is handed over before `by` or never: later, another attempt would do harm.
+    """
 
     message: int
     target: Target
     until: float = 0.0
+    by: float = 1e18
 
 
 @dataclass(frozen=True)
--- a/ashvale/lab/run.py
+++ b/ashvale/lab/run.py
@@ -26,6 +26,7 @@
 
 DOWN_MS = 300.0       # a courier that was killed begins again after so long
 GIVE_UP_MS = 90_000.0  # a run that has not come to its end by then, after the last message, is ended
+SILENT_MS = 900.0      # machines that are cut off are back after so long, before the system asks again
 LISTEN: Address = ("127.0.0.1", 7000)
 AGENT: Address = ("127.0.0.1", 7001)
 
@@ -180,6 +181,20 @@
             if sock.peer is not None and sock.local in partners:
                 sock.cut()
 
+    def silent(self) -> None:
+        """Every second partner's machine is cut off for a while: connections hang, new ones come up late."""
+        cut = list(self.endpoints.values())[::2]
+        for endpoint in cut:
+            self.loop.net.silent.add(endpoint.listener.address)
+            self.edges.silenced(self.loop.now(), endpoint.name)
+
+        def heard() -> None:
+            for endpoint in cut:
+                self.loop.net.heard(endpoint.listener.address)
+                self.edges.heard(self.loop.now(), endpoint.name)
+
+        self.loop.call_at(self.loop.now() + SILENT_MS, heard)
+
     def _struck(self) -> None:
         self.edges.killed(self.loop.now())
         if self.courier is not None:
--- a/ashvale/lab/virtual.py
+++ b/ashvale/lab/virtual.py
@@ -24,6 +24,7 @@
 WINDOW = 65536          # bytes that are under way or unread on one stream
 EPOCH_MS = 1.7e12       # the wall clock at the start of every run
 LAST_PORT = 40000       # ports that are given out begin above
+AGAIN_MS = (1000.0, 2000.0, 4000.0)  # a system asks a silent machine for a connection again after so long
 IN, OUT, ERR, HUP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLERR, select.EPOLLHUP
 DelayOf = Callable[[Address, Address], float]
 
@@ -46,6 +47,8 @@
         self.sent = 0            # bytes under way to the peer or unread by it
         self.owner: Optional[Process] = None
         self.cut_after: Optional[int] = None  # bytes that may still come in before the stream is reset
+        self.cut_sent: Optional[int] = None   # bytes that may still be sent before it is
+        self.lost = False  # something that was sent has not arrived
 
     # What ashvale.net.loop uses of a socket
 
@@ -109,6 +112,10 @@
         self.sent += count
         peer, part = self.peer, bytes(data[:count])
         self._net.pass_on(self, lambda: peer.take(part))
+        if self.cut_sent is not None:
+            self.cut_sent -= count
+            if self.cut_sent <= 0:  # the other side has the bytes, and this one hears of the reset with them
+                self.end(True)
         return count
 
     def close(self) -> None:
@@ -168,6 +175,7 @@
         self._loop, self.delay = loop, delay
         self.listening: dict[Address, VirtualSocket] = {}
         self.silent: set[Address] = set()   # machines that answer nothing, not even a refusal
+        self.on_open: Callable[[VirtualSocket], None] = lambda sock: None  # told of each stream that comes up
         self.open: dict[int, VirtualSocket] = {}
         self._ports = itertools.count(LAST_PORT + 1)
         self._numbers = itertools.count(3)
@@ -192,9 +200,20 @@
         if self.listening.get(sock.local) is sock:
             del self.listening[sock.local]
 
-    def arrive(self, sock: VirtualSocket, address: Address) -> None:
+    def heard(self, address: Address) -> None:
+        """A machine that was silent is back: streams on which something was lost are reset."""
+        self.silent.discard(address)
+        for sock in list(self.open.values()):
+            if sock.peer is not None and sock.local == address and (sock.lost or sock.peer.lost):
+                sock.cut()
+
+    def arrive(self, sock: VirtualSocket, address: Address, tries: int = 0) -> None:
         """A request to connect reaches a machine."""
-        if address in self.silent or sock.closed:
+        if sock.closed:
+            return
+        if address in self.silent:
+            if tries < len(AGAIN_MS):
+                self.later(AGAIN_MS[tries], lambda: self.arrive(sock, address, tries + 1))
             return
         listener = self.listening.get(address)
         if listener is not None and listener.waiting is not None:
@@ -203,6 +222,7 @@
             other.owner = listener.owner
             listener.waiting.append(other)
             self.touch(listener)
+            self.on_open(sock)
         else:
             sock.error = errno.ECONNREFUSED
 
@@ -217,6 +237,7 @@
         peer = source.peer
         assert peer is not None
         if source.local in self.silent or peer.local in self.silent:
+            source.lost = True
             return
         earliest = self._last.get(source.fileno(), 0.0)
         at = max(self._loop.now() + self.delay(source.local, peer.local), earliest)
@@ -320,7 +341,7 @@
         self._tasks[task] = None
         return task
 
-    def call_at(self, at: float, action: Callable[[], None]) -> Timer:
+    def call_at(self, at: float, action: Callable[[], object]) -> Timer:
         return self._shared.call_at(at, lambda: action() if self.alive else None)
 
     def watch(self, fd: int, mask: int, handler: Callable[[int], None]) -> None:
--- a/ashvale/net/loop.py
+++ b/ashvale/net/loop.py
@@ -61,7 +61,7 @@
 
     __slots__ = ("action", "at", "loop")
 
-    def __init__(self, loop: Loop, at: float, action: Callable[[], None]) -> None:
+    def __init__(self, loop: Loop, at: float, action: Callable[[], object]) -> None:
         self.loop, self.at, self.action = loop, at, action
 
     def cancel(self) -> None:
@@ -150,7 +150,7 @@
         self.ready.append((task, None))  # type: ignore[arg-type]  # a generator is started by sending None
         return task
 
-    def call_at(self, at: float, action: Callable[[], None]) -> Timer:
+    def call_at(self, at: float, action: Callable[[], object]) -> Timer:
         timer = Timer(self, at, action)
         heapq.heappush(self._timers, (at, next(self._numbers), timer))
         return timer
@@ -204,7 +204,7 @@
             task, fired = self.ready.popleft()
             task.step(fired)
 
-    def _guard(self, action: Callable[[], None]) -> None:
+    def _guard(self, action: Callable[[], object]) -> None:
         try:
             action()
         except Exception:  # guards the loop against a handler's fault
@@ -385,19 +385,24 @@
         return self.closed or self.ended or self.fault is not None or bool(len(self.inbound))
 
     def send(self, data: bytes, until: float) -> Coroutine[None]:
-        """Return once the last byte has been handed to the system."""
+        """Return once the last byte has been handed to the system, whatever has become of the stream since.
+
+        Guards the rule on repeats: what was handed over may take effect, also when the event that made room
+        for its last byte brought a reset too.
+        """
         view, done = memoryview(data), 0
         while True:
+            if self.fault is None and not self.closed:
+                done += self.outbound.append(view[done:])
+                self.flush()
+                self._interest()
+            if done == len(data) and not len(self.outbound):
+                return
             if self.fault is not None or self.closed:
                 raise Broken(str(self.fault or "closed"))
-            done += self.outbound.append(view[done:])
-            self.flush()
-            self._interest()
-            if self.fault is None and not len(self.outbound):
-                if done == len(data):
-                    return
+            if not len(self.outbound):
                 continue  # guards a long send against waiting for a socket that has just taken a whole ring
-            if self.fault is None and not (yield self.changed, until):
+            if not (yield self.changed, until) and len(self.outbound):
                 raise Expired("the other side takes no data")
 
     def receive(self, until: float) -> Coroutine[bytes]:
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -26,7 +26,7 @@
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.net.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, Signal
-from ashvale.net.pool import Carrier, Silenced
+from ashvale.net.pool import Carrier, Stopped
 
 if TYPE_CHECKING:  # costs 300 KB where no mail is served
     from email.message import Message
@@ -498,7 +498,8 @@
         yield from self._say("DATA", until)
         yield from self.expect(399, until)
         check()
-        yield from self.connection.send(stuffed(body), until)
+        by = self.execution.by if self.execution is not None else []
+        yield from self.connection.send(stuffed(body), min([until, *by]))
         self.written = True
         if self.execution is not None:
             self.execution.written = self.connection.loop.now()
@@ -584,7 +585,7 @@
             outcome, wait, over = verdict(answers)
         except Declined as error:
             outcome, wait, over = judge(error.code, error.text, error.early)
-        except Silenced:  # cut short, which undoes a transaction whatever it has come to
+        except Stopped:  # cut short, which undoes a transaction whatever it has come to
             outcome = Outcome.MOOT
             if client is not None:
                 client.connection.close()
@@ -592,6 +593,10 @@
             log.debug("execution broke", extra={"instance": execution.instance.name, "why": str(error)})
             if client is not None and client.written:  # the dot was sent: it may have taken effect
                 outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
+            elif isinstance(error, Expired):
+                outcome = self._too_late(execution)
+                if client is not None:
+                    client.connection.close()  # what has not left yet never does
         self.exchange.report(execution, entry, outcome, wait, over)
         if client is not None and outcome in (Outcome.FULL, Outcome.MOOT) and not (
                 client.reusable_now or client.connection.closed):
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -38,7 +38,7 @@
     connect,
     sleep,
 )
-from ashvale.net.pool import Carrier, Silenced
+from ashvale.net.pool import Carrier, Stopped
 
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
 REQUEST_MS = 2000.0       # a service client has this long for one request, and to begin with its first
@@ -445,7 +445,8 @@
         data = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
         data.append(self.http.send(h11.Data(data=body)) if body else b"")
         data.append(self.http.send(h11.EndOfMessage()))
-        yield from self.connection.send(b"".join(part or b"" for part in data), until)
+        by = reply.execution.by if reply.execution is not None else []
+        yield from self.connection.send(b"".join(part or b"" for part in data), min([until, *by]))
         reply.written = True
         if reply.execution is not None:
             reply.execution.written = self.connection.loop.now()
@@ -503,10 +504,10 @@
                 client = HttpClient((yield from self._connect(execution)), instance.address)
             self._check(execution)
             yield from self._ask(client, execution, reply)
-        except Silenced:
+        except Stopped:
             outcome = Outcome.MOOT
         except Expired:
-            outcome = Outcome.TIMEOUT if reply.written else Outcome.CONNECT_FAILED
+            outcome = Outcome.TIMEOUT if reply.written else self._too_late(execution)
         except Broken as error:
             log.debug("execution broke", extra={"instance": instance.name, "why": str(error)})
             outcome = Outcome.RESET if reply.written else Outcome.CONNECT_FAILED
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -20,8 +20,8 @@
 log = logging.getLogger(__name__)
 
 
-class Silenced(Exception):
-    """The destination has told a wait since the execution began: it is not to be written."""
+class Stopped(Exception):
+    """The execution is not to be written any more, and never ran: a wait was told, or a window has closed."""
 
 
 class Client(Protocol):
@@ -104,12 +104,27 @@
 
     def _check(self, execution: Execution) -> None:
         """To be called right before a message is written."""
-        if self.exchange.silenced(execution):
-            raise Silenced
+        if not self.exchange.may_write(execution):
+            raise Stopped
+
+    def _too_late(self, execution: Execution) -> Outcome:
+        """How an execution ended whose time ran out before its last byte was handed over: it never ran.
+
+        Where its windows closed first that says nothing of the instance, which is not held to be out.
+        """
+        return Outcome.CONNECT_FAILED if self.exchange.may_write(execution) else Outcome.MOOT
 
     def _connect(self, execution: Execution) -> Coroutine[Connection]:
-        limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms)
-        connection = yield from connect(self.loop, execution.instance.address, limit)
+        limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms,
+                    max(execution.by))
+        # Guards a message whose window is nearly over against waiting for a connection of no use to it.
+        ends = [self.loop.call_at(by, lambda: self.exchange.may_write(execution))
+                for by in sorted(set(execution.by)) if by < limit]
+        try:
+            connection = yield from connect(self.loop, execution.instance.address, limit)
+        finally:
+            for end in ends:
+                end.cancel()
         self._made[id(execution)] = connection
         execution.connected = self.loop.now()
         return connection
