Hand what waits to the new process after the handover; refuse to start without a lock

Need: an old process in an upgrade lived until 3.5 s after SIGTERM and left 60 to 200 messages owed, which waited there for pacing or a told wait although the new process could serve them. Cause: leave() knew nothing of a successor (ashvale/__main__.py). Not taken: handing messages over live by a socket, which the platform refuses.

Locks: a table of errors, and a close elsewhere in the process.

--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -76,7 +76,7 @@
         journal = Journal(told.state, told.journal_bytes, loop.wall(), disk)
         self.exchange = Exchange(loop, told.settings, told.seed, journal)
         self._trace(told)
-        self.leaving = self._reading = False
+        self.leaving = self._reading = self._succeeded = False
         self._again: Optional[Mapping[str, str]] = None
         self.tasks: list[Task] = []
         self.server: Optional[Server] = None
@@ -280,7 +280,9 @@
             return
         self.leaving, now = True, self.loop.now()
         log.info("leaving")
-        self.exchange.close_at(now + LAST_SEND_MS)
+        # Guards what waits against a process that is about to end: the one beside it takes it over at once.
+        self._succeeded = self.exchange.journal.succeeded
+        self.exchange.close_at(now + (HANDOVER_MS if self._succeeded else LAST_SEND_MS))
         if self.server is not None:
             self.server.closing = True
         self.loop.call_at(now + HANDOVER_MS, self._handed_over)
@@ -306,7 +308,7 @@
         self._end_when_idle()
 
     def _end_when_idle(self) -> None:
-        if self.exchange.idle:
+        if self.exchange.idle or self._succeeded and self.exchange.quiet:
             self.loop.stop()
         else:
             self.loop.call_at(self.loop.now() + 20.0, self._end_when_idle)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -629,6 +629,12 @@
         for carrier in self.carriers.values():
             carrier.halt()
 
+    @property
+    def quiet(self) -> bool:
+        """True when no execution is out and nobody waits to hear of an end; messages may still wait."""
+        ended = any(e.state and not e.keep_until for e in self.journal.entries.values())
+        return not (self._out or self._events or ended)
+
     @property
     def idle(self) -> bool:
         """True when nobody is owed anything."""
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -127,21 +127,21 @@
         self._locks: dict[Path, int] = {}  # the descriptors that hold locks; closing one would let go
 
     def lock(self, path: Path) -> bool:
-        """Hold a lock on `path` for as long as this process lives; False where another process holds it.
+        """Hold a lock on `path` until `unlock` or the process' end; False where another holder has it.
 
-        A POSIX record lock: the kernel lets go of it when the process ends, a kill included, and the same
-        process may take it again, as a restart in one test does. Where the platform has no such call the
-        process counts as the only one (guards the start against ENOSYS).
+        It is `flock`: it belongs to the open file, so that no other close in this process lets go of it, and
+        the kernel frees it when the process ends, a kill included. Any other failure raises `OSError`: guards
+        the journal against two writers that each believe it theirs, as on a full descriptor table or a
+        read-only folder. ENOSYS alone says that a platform has no locks, and so no second process either.
         """
+        file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
-            file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-        except OSError:
-            return True
-        try:
-            fcntl.lockf(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
             os.close(file)
-            return error.errno not in (errno.EAGAIN, errno.EACCES)
+            if error.errno not in (errno.EWOULDBLOCK, errno.ENOSYS):
+                raise
+            return error.errno == errno.ENOSYS
         self._locks[path] = file
         return True
 
@@ -173,8 +173,11 @@
         # Guards against two writers of one file in an upgrade: whoever holds `journal.lock` writes `journal`;
         # a second process writes `journal.next` until the first has ended, and then adopts what it left.
         self.waiting = not self._disk.lock(self._lock)
-        if self.waiting and not self._disk.lock(self._aside_lock):
-            raise Full("two other processes write the journal's folder")
+        tries = 0
+        while self.waiting and not self._disk.lock(self._aside_lock):
+            if (tries := tries + 1) > 5:
+                raise Full("two other processes write the journal's folder")
+            time.sleep(0.01)  # guards a start against the moment in which the other one looks for us
         self._path = self._aside if self.waiting else self._main
         self._disk.remove(self._new)
         for entry, size in self._load(self._path):
@@ -191,9 +194,26 @@
     def _new(self) -> Path:
         return self._path.with_name(self._path.name + ".new")
 
+    @property
+    def succeeded(self) -> bool:
+        """True where another process writes beside this one, and takes over what it leaves."""
+        if self.waiting:
+            return False
+        try:
+            if not self._disk.lock(self._aside_lock):
+                return True
+        except OSError:  # nobody can be told; then nobody counts on it
+            return False
+        self._disk.unlock(self._aside_lock)
+        return False
+
     def adopt(self) -> list[Entry]:
         """Once the process that wrote `journal` has ended, take over what it still owes; those entries."""
-        if not self.waiting or not self._disk.lock(self._lock):
+        try:
+            if not self.waiting or not self._disk.lock(self._lock):
+                return []
+        except OSError as error:  # for want of a descriptor, say: it is asked again
+            log.error("lock not asked for", extra={"why": str(error)})
             return []
         self.waiting = False
         taken = self._absorb(self._main)
@@ -342,6 +362,8 @@
 
     def close(self) -> None:
         self._disk.close(self._file)
+        for lock in (self._lock, self._aside_lock):
+            self._disk.unlock(lock)
 
 
 def _replay(entries: dict[int, tuple[Entry, int]], kind: int, payload: bytes) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import subprocess
 import sys
 from pathlib import Path
@@ -18,6 +19,12 @@
     return Entry(0, id, "platform", "rate-update", "1", "home", "k", 9e12, body)
 
 
+def again(ended: Journal, folder: Path) -> Journal:
+    """The journal of the next process on a folder."""
+    ended.close()
+    return Journal(folder, ROOM)
+
+
 def test_what_was_taken_comes_back_with_what_became_of_it(tmp_path: Path) -> None:
     first = Journal(tmp_path, ROOM)
     one, two, three = entry("1", bytes(range(256))), entry("2"), entry("3")
@@ -29,7 +36,7 @@
     first.outcome(two, never_ran=False)
     first.started([two], 3000.0, 6)
     first.decided(three, "returned", 250.0, 77.0)
-    back = {e.id: e for e in Journal(tmp_path, ROOM).entries.values()}
+    back = {e.id: e for e in again(first, tmp_path).entries.values()}
     assert back["1"].body == bytes(range(256)) and back["1"].attempts == 2
     assert (back["1"].ran_at, back["1"].ran_zone) == (2000.0, 5)  # out when the process ended: may have run
     assert (back["2"].ran_at, back["2"].attempts) == (1000.0, 2)  # the first that may have run counts
@@ -42,7 +49,7 @@
     first.take(one)
     first.take(two)
     first.ended(one)
-    second = Journal(tmp_path, ROOM)
+    second = again(first, tmp_path)
     three = entry("3")
     second.take(three)
     assert [e.id for e in second.entries.values()] == ["2", "3"] and three.number > two.number
@@ -56,19 +63,20 @@
     first.take(entry("2"))
     file = tmp_path / "journal"
     file.write_bytes(file.read_bytes()[:-cut])
-    second = Journal(tmp_path, ROOM)
+    second = again(first, tmp_path)
     assert [e.id for e in second.entries.values()] == ["1"]
     second.take(entry("3"))
-    assert [e.id for e in Journal(tmp_path, ROOM).entries.values()] == ["1", "3"]
+    assert [e.id for e in again(second, tmp_path).entries.values()] == ["1", "3"]
 
 
 def test_a_damaged_record_is_not_believed(tmp_path: Path) -> None:
-    Journal(tmp_path, ROOM).take(entry("1"))
+    first = Journal(tmp_path, ROOM)
+    first.take(entry("1"))
     file = tmp_path / "journal"
     data = bytearray(file.read_bytes())
     data[-1] ^= 1
     file.write_bytes(bytes(data))
-    assert not Journal(tmp_path, ROOM).entries
+    assert not again(first, tmp_path).entries
 
 
 def test_rewriting_keeps_old_and_new_file_within_the_room(
@@ -96,7 +104,7 @@
             kept.started([stays], float(number + 1), 0)
             kept.outcome(stays, False)
     assert len(seen) > 2 and max(seen) <= ROOM
-    back, = Journal(tmp_path, ROOM).entries.values()
+    back, = again(kept, tmp_path).entries.values()
     assert (back.attempts, back.ran_at) == (6, 1.0)
 
 
@@ -112,7 +120,7 @@
             kept.outcome(each, False)
         kept.decided(each, "failed", 0.0)
     assert (tmp_path / "journal").stat().st_size <= ROOM
-    assert all(e.state == "failed" for e in Journal(tmp_path, ROOM).entries.values())
+    assert all(e.state == "failed" for e in again(kept, tmp_path).entries.values())
 
 
 def test_a_failed_write_leaves_no_half_record(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -130,7 +138,39 @@
         kept.take(entry("2"))
     monkeypatch.setattr(journal.os, "write", real)
     kept.take(entry("3"))
-    assert [e.id for e in Journal(tmp_path, ROOM).entries.values()] == ["1", "3"]
+    assert [e.id for e in again(kept, tmp_path).entries.values()] == ["1", "3"]
+
+
+@pytest.mark.parametrize(("name", "error", "told"), [
+    ("open", errno.EMFILE, "raises"), ("open", errno.EROFS, "raises"), ("flock", errno.EIO, "raises"),
+    ("flock", errno.ENOLCK, "raises"), ("flock", errno.ENOSYS, "alone"), ("flock", errno.EAGAIN, "beside")])
+def test_only_a_platform_without_locks_counts_as_one_without_a_second_process(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str, error: int, told: str) -> None:
+    """Guards the journal against two writers where a lock cannot be had for another reason."""
+    def fails(*_: object) -> int:
+        raise OSError(error, "no")
+
+    monkeypatch.setattr(journal.os if name == "open" else journal.fcntl, name, fails)
+    if told == "raises":
+        with pytest.raises(OSError):
+            journal.Disk().lock(tmp_path / "lock")
+    else:
+        assert journal.Disk().lock(tmp_path / "lock") is (told == "alone")
+
+
+def test_a_lock_outlasts_other_closes_of_its_file_and_is_asked_for_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against locks that any close of the file lets go of, and a newcomer against giving up."""
+    owner = Journal(tmp_path, ROOM)
+    (tmp_path / "journal.lock").read_bytes()  # opened and closed by somebody in this process
+    new = Journal(tmp_path, ROOM)
+    assert new.waiting and owner.succeeded and not new.adopt()
+    owner.close()
+    with monkeypatch.context() as patch:
+        patch.setattr(journal.os, "open", lambda *_: (_ for _ in ()).throw(OSError(errno.EMFILE, "full")))
+        assert not new.adopt() and new.waiting
+    new.adopt()
+    assert not new.waiting and not new.succeeded
 
 
 # Two processes on one folder, as in an upgrade: the old one is a real process that holds the lock.
@@ -175,7 +215,8 @@
     assert next(e for e in taken if e.id == "old-2").ran_at == 1000.0  # out when it ended: may have run
     assert len({e.number for e in new.entries.values()}) == 4
     assert not (tmp_path / "journal.next").exists()
-    back = sorted(e.id for e in Journal(tmp_path, ROOM).entries.values())
+    new = again(new, tmp_path)
+    back = sorted(e.id for e in new.entries.values())
     assert back == ["both", "new-1", "old-1", "old-2"]
     child = subprocess.run([sys.executable, "-c", "import sys; from pathlib import Path; "
                             "from ashvale.journal import Journal; "
@@ -191,7 +232,6 @@
         newcomer = Journal(tmp_path, ROOM)
         newcomer.take(entry("new-1"))
         newcomer.close()
-        newcomer._disk.unlock(tmp_path / "journal.next.lock")  # as its end would
     finally:
         assert old.stdin is not None
         old.stdin.close()
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -23,7 +23,7 @@
 from ashvale.__main__ import KeyValue
 from ashvale.net.loop import Broken, Coroutine, connect
 from ashvale.rehearsal import HERE, LONG_MS, Partner, run, set_up
-from tests.stage import Discovery, Endpoint, Scene, request, scene
+from tests.stage import Discovery, Endpoint, Scene, answer, request, scene
 from tests.test_door import SET
 
 
@@ -108,6 +108,34 @@
         assert "owed=0" in second.end(signal.SIGTERM) and not s.discovery.notices
 
 
+def test_two_processes_on_one_address_and_folder_lose_nothing_and_send_nothing_twice() -> None:
+    """An upgrade under load: what the old process cannot send any more goes to the new one at once."""
+    with scene() as s:
+        busy = answer(503, retry_after="5.000")  # longer than the old process may still live
+        endpoint, shut = s.endpoint(), s.endpoint(busy, block=2)
+        old = Program(s)
+        assert old.ask(request("usage-record", "waits", 2, timeout="15000m")).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: len(shut.calls) == 1)
+        s.environ["LB_LISTEN"] = f"{HERE}:{old.ports['platform']}"
+        new = Program(s)
+        assert new.ports == old.ports and "journal of a process still running" in new.log
+        ids = [f"m{number}" for number in range(60)]
+        for number, id in enumerate(ids):
+            if number == 20:
+                old.process.send_signal(signal.SIGTERM)
+            assert old.ask(request("usage-record", id)).startswith(b"HTTP/1.1 202 "), id
+        s.until(lambda: old.process.poll() is not None)
+        log = old.end(signal.SIGTERM)
+        left, ended = (float(re.findall(rf"at=([\d.]+)\S* .*event={event}", log)[-1])
+                       for event in ("leaving", "ended"))
+        assert "owed=1" in log and ended - left < 3.0
+        s.until(lambda: len(shut.calls) == 2 and len(endpoint.calls) >= len(ids))
+        assert new.end(signal.SIGTERM).count("event=ended owed=0") == 1
+        assert sorted(call.headers["request-id"] for call in endpoint.calls) == sorted(ids)
+        assert [call.headers["request-id"] for call in shut.calls] == ["waits"] * 2
+        assert not s.discovery.notices
+
+
 def test_what_cannot_be_delivered_before_the_end_stays_in_the_journal() -> None:
     with scene() as s:
         program = Program(s)
