Put Courier in its own module and the loop below the core, and end import circles

Need: three circles of imports (command line, laboratory, rehearsal and __main__; config and routing; exchange and the trace recorder) stood in the way of a fleet package between them. Seen with a walk over all imports, lazy ones and those for types included.

Change, moves alone: ashvale/courier.py (Courier), log.py (the form of log lines), loop.py (from net/); config/base.py holds what all readers share; the exchange states what it tells a tracer as a protocol; the mail stand-ins and constants that the rehearsal lent the laboratory are in lab/mail.py and lab/stands.py.

A test sorts all modules by their imports and fails on a circle.

--- a/ashvale/config/__init__.py
+++ b/ashvale/config/__init__.py
@@ -1,18 +1,17 @@
 """Configuration, read and checked in one place.
 
-`daemon` reads what one courier is told, and is all that a running courier loads. The language of operators'
-files is `text` (TOML with positions), `units`, `declare` (what may stand where), `reader` (includes,
-constants, overrides), `check` (what is wrong although it can be read) and `codes` (a page for each mistake).
+`base` is what all readers share. `daemon` reads what one courier is told, and is all that a running courier
+loads. The language of operators' files is `text` (TOML with positions), `units`, `declare` (what may stand
+where), `reader` (includes, constants, overrides), `check` (what is wrong although it can be read) and `codes`
+(a page for each mistake).
 """
 
+from ashvale.config.base import GOOD_MAIL, GOOD_SET, ConfigError, address, get, parse
 from ashvale.config.daemon import (
-    GOOD_MAIL,
-    GOOD_SET,
     MAIL_CLASS,
     MAIL_KIND,
     OWN_FILE,
     Config,
-    ConfigError,
     Limits,
     Listen,
     Mail,
@@ -20,12 +19,9 @@
     Platform,
     Rule,
     Trace,
-    address,
-    get,
     has_set,
     load,
     mail,
-    parse,
     read_toml,
     settings,
     trace,
--- a/ashvale/config/check.py
+++ b/ashvale/config/check.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterator
 from fnmatch import fnmatchcase
 
+from ashvale.config.base import ConfigError, address
 from ashvale.config.codes import CODES
-from ashvale.config.daemon import ConfigError, address
 from ashvale.config.reader import Entry, Loaded, nearest
 from ashvale.config.text import Mistake, Place
 from ashvale.config.units import write
--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import ipaddress
-import json
 import logging
 import tomllib
 from collections.abc import Mapping
@@ -18,25 +16,31 @@
 
 from ashvale import interface as api
 from ashvale.config import units
+from ashvale.config.base import (
+    FORMS,
+    GOOD_MAIL,
+    GOOD_SET,
+    LEVELS,
+    MISSING,
+    ConfigError,
+    address,
+    choice,
+    get,
+    least,
+    parse,
+)
 
 if TYPE_CHECKING:
     from ashvale.config.mailset import MailSet
     from ashvale.routing.build import Plan
 
 _EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
-_MISSING = object()
 MAIL_FILE = Path(__file__).parent.parent.parent / "deploy" / "mail.toml"
 OWN_FILE = Path(__file__).parent.parent.parent / "deploy" / "ashvale.toml"
-GOOD_SET = "good-set.json"  # the last set that came into force, in the folder that lasts
-GOOD_MAIL = "good-mail.json"  # the same of the mail front's set
 log = logging.getLogger(__name__)
 DISK_MB, SOCKETS = 3, 1024  # taken where the deployment states no limit
 
 
-class ConfigError(Exception):
-    """Configuration that cannot be used; the text names the key."""
-
-
 @dataclass(frozen=True)
 class Limits:
     """What the machine allows the process."""
@@ -110,43 +114,6 @@
         return self.limits.disk_bytes - kept - (self.trace.budget if self.trace is not None and shared else 0)
 
 
-def parse(text: bytes | str, what: str) -> Any:
-    """Read JSON, or say that it is none."""
-    try:
-        return json.loads(text)
-    except ValueError as error:
-        raise ConfigError(f"{what}: not JSON ({error})") from None
-
-
-def get(table: Any, key: str, kind: Any, default: Any = _MISSING, what: str = "settings") -> Any:
-    """Return a value of the wanted type; an absent key without a default is an error."""
-    if not isinstance(table, dict):
-        raise ConfigError(f"{what}: an object was expected")
-    if key not in table:
-        if default is _MISSING:
-            raise ConfigError(f"{what}: key '{key}' is missing")
-        return default
-    value = table[key]
-    if kind is float and isinstance(value, int) and not isinstance(value, bool):
-        value = float(value)
-    if not isinstance(value, kind) or (kind in (int, float) and isinstance(value, bool)):
-        raise ConfigError(f"{what}: key '{key}' has the wrong type")
-    return value
-
-
-def address(text: str, key: str, what: str = "config") -> tuple[str, int]:
-    """Split `address:port`."""
-    host, _, port = text.rpartition(":")
-    try:
-        # A name would have to be looked up, which blocks, and there is nobody to ask.
-        ipaddress.ip_address(host.strip("[]"))
-        if not (port.isdigit() and int(port) < 65536):
-            raise ValueError
-    except ValueError:
-        raise ConfigError(f"{what}: key '{key}' is no address and port: '{text}'") from None
-    return host.strip("[]"), int(port)
-
-
 def load(environ: Mapping[str, str], anew: bool = False) -> Config:
     """Read all that one courier is told: by the platform, by the mail front's file, or by both.
 
@@ -168,10 +135,10 @@
         raise ConfigError("environment: key 'LB_CONFIG' is missing, and the mail front is off")
     limits = get(root, "limits", dict, {}, file.name)
     where = f"{file.name}: limits"
-    disk = _least(limits, "disk_mb", float, float(DISK_MB), 0.2, where)
+    disk = least(limits, "disk_mb", float, float(DISK_MB), 0.2, where)
     told = Config(
         name=front.hostname, state=_state(environ.get("LB_STATE") or get(root, "state", str, "", file.name)),
-        seed=0, limits=Limits(_least(limits, "sockets", int, SOCKETS, 64, where), int(disk * 1_000_000)),
+        seed=0, limits=Limits(least(limits, "sockets", int, SOCKETS, 64, where), int(disk * 1_000_000)),
         settings=with_mail(None, front), platform=None, mail=front)
     return _with_trace(_with_set(told, made), environ, anew)
 
@@ -184,7 +151,6 @@
 
 _OWN_KEYS = {"trace": {"enabled", "folder", "budget", "age", "share", "slowest", "details", "live",
                        "mail_headers"}, "log": {"level", "form"}}
-LEVELS, FORMS = ("debug", "info", "warning", "error"), ("logfmt", "json")
 
 
 def _quantity(table: Any, key: str, kind: str, default: str, least: float, what: str) -> float:
@@ -221,7 +187,7 @@
     for key in table:
         if key not in _OWN_KEYS["log"]:
             raise ConfigError(f"{where}: unknown key '{key}'")
-    return Log(_choice(table, "level", LEVELS, where, "info"), _choice(table, "form", FORMS, where, "logfmt"))
+    return Log(choice(table, "level", LEVELS, where, "info"), choice(table, "form", FORMS, where, "logfmt"))
 
 
 def trace(root: Any, told: Config, what: str) -> Optional[Trace]:
@@ -240,8 +206,8 @@
     found = Trace(
         folder, int(_quantity(table, "budget", "size", "512 KB", 66000.0, where)),
         _quantity(table, "age", "time", "72 h", 1000.0, where), share,
-        _least(table, "slowest", int, 2, 0, where), _least(table, "details", int, 20, 0, where),
-        _least(table, "live", int, 4096, 1, where), get(table, "mail_headers", bool, False, where))
+        least(table, "slowest", int, 2, 0, where), least(table, "details", int, 20, 0, where),
+        least(table, "live", int, 4096, 1, where), get(table, "mail_headers", bool, False, where))
     if not get(table, "enabled", bool, False, where):
         return None
     if 2 * replace(told, trace=found).journal_bytes < told.limits.disk_bytes:
@@ -333,8 +299,8 @@
     return Config(
         name=environ.get("LB_NAME") or get(root, "name", str, "courier", "config"),
         state=_state(environ.get("LB_STATE", "")), seed=number,
-        limits=Limits(_least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
-                      int(_least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6)),
+        limits=Limits(least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
+                      int(least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6)),
         settings=settings(get(root, "settings", dict, what="config")),
         platform=Platform(address(listen, "listen"), address(discovery, "discovery"),
                           get(root, "known", dict, {}, "config"), _operator(environ, root, listen)))
@@ -501,29 +467,15 @@
     return found
 
 
-def _choice(table: Any, key: str, allowed: tuple[str, ...], what: str, default: Any = _MISSING) -> str:
-    value: str = get(table, key, str, default, what)
-    if value not in allowed:
-        raise ConfigError(f"{what}: key '{key}' is '{value}', one of {', '.join(allowed)} was expected")
-    return value
-
-
-def _least(table: Any, key: str, kind: Any, default: Any, least: float, what: str) -> Any:
-    value = get(table, key, kind, default, what)
-    if not value >= least:
-        raise ConfigError(f"{what}: key '{key}' is {value}, at least {least:g} was expected")
-    return value
-
-
 def _mail_class(table: Any, what: str) -> api.MessageClass:
-    repeat = _choice(table, "repeat", ("safe", "never"), what)
-    deadline = _least(table, "deadline_ms", float, _MISSING, 1.0, what)
+    repeat = choice(table, "repeat", ("safe", "never"), what)
+    deadline = least(table, "deadline_ms", float, MISSING, 1.0, what)
     return api.MessageClass(
         name=MAIL_CLASS + get(table, "name", str, what=what),
         effect=api.Effect.SAFE if repeat == "safe" else api.Effect.UNSAFE,
-        aim_ms=_least(table, "aim_ms", float, deadline, 1.0, what), deadline_ms=deadline,
+        aim_ms=least(table, "aim_ms", float, deadline, 1.0, what), deadline_ms=deadline,
         worth=get(table, "worth", float, 1.0, what), late_worth=get(table, "late_worth", float, 0.0, what),
-        window_ms=_least(table, "window_ms", float, deadline, 0.0, what))
+        window_ms=least(table, "window_ms", float, deadline, 0.0, what))
 
 
 def mail(root: Any, what: str = "mail") -> Optional[Mail]:
@@ -531,13 +483,13 @@
     _checked(root, "", what)
     limits = _checked(get(root, "limits", dict, {}, what), "limits", f"{what}: limits")
     where = f"{what}: limits"
-    size = _least(limits, "size", int, MAIL_SIZE, 1, where)
+    size = least(limits, "size", int, MAIL_SIZE, 1, where)
     if size > MAIL_SIZE_MOST:
         raise ConfigError(f"{where}: key 'size' is {size}, at most {MAIL_SIZE_MOST} was expected")
     listen = tuple(
-        Listen(_choice(t, "protocol", ("smtp", "lmtp"), w),
+        Listen(choice(t, "protocol", ("smtp", "lmtp"), w),
                address(get(t, "address", str, what=w), "address", w),
-               _least(t, "connections", int, 100, 1, w)) for t, w in _tables(root, "listen", what))
+               least(t, "connections", int, 100, 1, w)) for t, w in _tables(root, "listen", what))
     classes = tuple(_mail_class(t, w) for t, w in _tables(root, "class", what))
     tenants = tuple(
         api.Tenant(get(t, "name", str, what=w), get(t, "share", float, 1.0, w),
@@ -549,16 +501,16 @@
             raise ConfigError(f"{w}: key 'name' is '{names[-1]}', a name used once was expected")
         for t, wi in _tables(table, "instance", w):
             instances.append(MailInstance(
-                names[-1], _choice(t, "protocol", ("smtp", "lmtp"), wi, "smtp"),
+                names[-1], choice(t, "protocol", ("smtp", "lmtp"), wi, "smtp"),
                 address(get(t, "address", str, what=wi), "address", wi), get(t, "zone", str, "", wi),
                 get(table, "rate", float, 0.0, w)))
     known = tuple(c.name.removeprefix(MAIL_CLASS) for c in classes)
     receivers = tuple(
-        Rule(get(t, "match", str, what=w).lower(), MAIL_CLASS + _choice(t, "class", known, w),
-             _choice(t, "destination", tuple(names), w)) for t, w in _tables(root, "recipient", what))
+        Rule(get(t, "match", str, what=w).lower(), MAIL_CLASS + choice(t, "class", known, w),
+             choice(t, "destination", tuple(names), w)) for t, w in _tables(root, "recipient", what))
     senders = tuple(
         Rule(get(t, "match", str, what=w).lower(),
-             tenant=_choice(t, "tenant", tuple(x.name for x in tenants), w))
+             tenant=choice(t, "tenant", tuple(x.name for x in tenants), w))
         for t, w in _tables(root, "sender", what))
     if not get(root, "enabled", bool, False, what):
         return None
@@ -566,15 +518,15 @@
         if not value:
             raise ConfigError(f"{what}: key '{key}' is missing")
     values = api.Settings(
-        classes=(), slots=_least(limits, "slots", int, 16, 1, where),
-        max_open=_least(limits, "max_open", int, 500, 1, where),
-        max_attempts=_least(limits, "attempts", int, 8, 1, where),
-        max_backoff_ms=_least(limits, "max_wait_ms", float, 60000.0, 0.0, where),
-        keepalive_ms=_least(limits, "keepalive_ms", float, 5000.0, 0.0, where),
-        connect_timeout_ms=_least(limits, "connect_timeout_ms", float, 1000.0, 1.0, where), tick_ms=5.0)
+        classes=(), slots=least(limits, "slots", int, 16, 1, where),
+        max_open=least(limits, "max_open", int, 500, 1, where),
+        max_attempts=least(limits, "attempts", int, 8, 1, where),
+        max_backoff_ms=least(limits, "max_wait_ms", float, 60000.0, 0.0, where),
+        keepalive_ms=least(limits, "keepalive_ms", float, 5000.0, 0.0, where),
+        connect_timeout_ms=least(limits, "connect_timeout_ms", float, 1000.0, 1.0, where), tick_ms=5.0)
     return Mail(get(root, "hostname", str, "ashvale.localdomain", what), listen, size,
-                _least(limits, "recipients", int, 100, 1, where),
-                _least(limits, "client_idle_ms", float, 300000.0, 1.0, where),
+                least(limits, "recipients", int, 100, 1, where),
+                least(limits, "client_idle_ms", float, 300000.0, 1.0, where),
                 classes, tenants, receivers, senders, tuple(instances), values)
 
 
--- a/ashvale/config/declare.py
+++ b/ashvale/config/declare.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Meta
 
-from ashvale.config.daemon import FORMS, LEVELS
+from ashvale.config.base import FORMS, LEVELS
 from ashvale.config.units import EXAMPLES, PATTERNS, WORDS
 
 
--- a/ashvale/config/mailset.py
+++ b/ashvale/config/mailset.py
@@ -14,8 +14,8 @@
 from typing import Any, Optional
 
 from ashvale.config import units
+from ashvale.config.base import GOOD_SET, ConfigError
 from ashvale.config.check import check, errors
-from ashvale.config.daemon import GOOD_SET, ConfigError
 from ashvale.config.reader import Entry, Files, Loaded, load
 from ashvale.routing.build import Plan, plan
 
--- /dev/null
+++ b/ashvale/courier.py
@@ -0,0 +1,280 @@
+"""One courier: its parts, wired together, and what it does when it is told to read anew or to leave.
+
+It owns the order in which parts start and end. It must never hold a message, speak a protocol or know of the
+process around it: signals and the log's set-up are `ashvale/__main__.py`'s, the loop is its caller's.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from random import Random
+from typing import TYPE_CHECKING, Optional
+
+from ashvale import config
+from ashvale.exchange import Exchange
+from ashvale.journal import Disk, Journal
+from ashvale.loop import Coroutine, Loop, Task, lasting
+from ashvale.net.mail import MailCarrier, MailFront
+from ashvale.net.platform import Discovery, Notices, Pool, Server
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from ashvale.net.operator import Door
+    from ashvale.trace.recorder import Recorder
+
+HANDOVER_MS = 600.0  # after SIGTERM new connections still come for so long
+LAST_SEND_MS = 3000.0  # no execution begins later than this after SIGTERM
+END_MS = 3500.0      # and the process ends, whatever is left; the journal keeps it
+ADOPT_MS = 100.0     # how often a new process looks whether the one before it has ended
+log = logging.getLogger("ashvale")
+
+
+class Courier:
+    """One running courier."""
+
+    def __init__(self, told: config.Config, loop: Loop, disk: Optional[Disk] = None) -> None:
+        self.loop, self.told = loop, told
+        journal = Journal(told.state, told.journal_bytes, loop.wall(), disk)
+        self.exchange = Exchange(loop, told.settings, told.seed, journal)
+        self.tracer: Optional[Recorder] = None
+        self._trace(told)
+        self.leaving = self._reading = self._succeeded = False
+        self._again: Optional[Mapping[str, str]] = None
+        self.tasks: list[Task] = []
+        self.server: Optional[Server] = None
+        self.discovery: Optional[Discovery] = None
+        self.mail: Optional[MailFront] = None
+        if told.platform is not None:
+            self._platform(told.platform)
+        if told.mail is not None:
+            self._mail_front(told.mail)
+            self._mail_carrier(told.mail)
+        self._share(told)
+        self.log_as: Callable[[config.Config], None] = lambda _told: None
+        self.exchange.resume()
+        self._door(told)
+        self.operator: Optional[Door] = None
+        if told.platform is not None and told.platform.operator is not None and self.server is not None:
+            self._operator(told.platform.operator, told.state)
+        if journal.waiting:
+            log.info("journal of a process still running; ours is beside it until it ends")
+            self.loop.call_at(self.loop.now() + ADOPT_MS, self._adopt)
+
+    def _operator(self, where: tuple[str, int], state: Path) -> None:
+        """The operator's door, and the bans that it keeps in the state folder for every process."""
+        from ashvale.net.operator import BANS_MS, Bans, Door
+        server = self.server
+        assert server is not None
+        bans = Bans(state, self.exchange.ban)
+        self.operator = Door(self.loop, where, bans, lambda name: name in self.exchange.ever,
+                             lambda: server.ready, server.drain)
+
+        def look() -> None:  # Bans read the file once when they are made
+            bans.look()
+            self.loop.call_at(self.loop.now() + BANS_MS, look)
+        self.loop.call_at(self.loop.now() + BANS_MS, look)
+
+    def _adopt(self) -> None:
+        """Take over what the process before an upgrade still owes, once it has ended."""
+        journal = self.exchange.journal
+        taken = journal.adopt()
+        if journal.waiting:
+            self.loop.call_at(self.loop.now() + ADOPT_MS, self._adopt)
+            return
+        self.exchange.resume(taken)
+        log.info("journal adopted", extra={"entries": len(taken)})
+
+    def _trace(self, told: config.Config) -> None:
+        """Follow what the operator's file says of tracing; what it needs is loaded only where it is on."""
+        tracer, self.tracer, self.exchange.tracer = self.tracer, None, None
+        if told.trace is None:
+            if tracer is not None:
+                tracer.close()
+            return
+        if tracer is not None:
+            tracer.begin(told.trace)
+        else:
+            try:
+                from ashvale.trace.recorder import Recorder
+            except ImportError as error:
+                log.error("tracing stays off", extra={"why": f"not installed: {error.name}"})
+                return
+            tracer = Recorder(self.exchange, told.trace, told.name, os.urandom)
+        self.tracer = self.exchange.tracer = tracer if tracer.store is not None else None
+
+    def _door(self, told: config.Config) -> None:
+        """Follow the routes, limits and pools of the operators' sets."""
+        for front, plan, sources, name in (
+                ("platform", told.plan, told.sources, config.GOOD_SET),
+                ("mail", told.mail_plan, told.mail_sources, config.GOOD_MAIL)):
+            if sources:
+                from ashvale.config import mailset
+                try:
+                    mailset.keep(told.state, sources, name)
+                except OSError as error:
+                    log.error("set not kept", extra={"why": str(error)})
+            else:
+                (told.state / name).unlink(missing_ok=True)
+            door = self.exchange.doors.get(front)
+            if plan is not None and door is not None:
+                door.swap(plan, self.loop.now())
+            elif plan is not None or door is not None:
+                from ashvale.routing.door import Door
+                made = Door(plan, told.seed, crosses=front == "mail") if plan is not None else None
+                self.exchange.guard(front, made)
+
+    def _platform(self, front: config.Platform) -> None:
+        self.notices = Notices(self.loop, front.discovery)
+        self.notices.told, self.notices.untold = self.exchange.told, self.exchange.untold
+        self.pool = Pool(self.loop, self.exchange, 1)
+        self.discovery = Discovery(self.loop, self.exchange, front.discovery, Random(self.told.seed))
+        self.discovery.known(front.known)
+        self.exchange.carriers["platform"] = self.pool
+        self.server = Server(self.loop, self.exchange, front.listen, 1, self.notices)
+        self.exchange.fronts["platform"] = self.server
+        for steps, name in ((self.notices.run, "notices"), (self.pool.sweep, "pool"),
+                            (self.discovery.run, "discovery")):
+            self._always(steps, name)
+
+    def _always(self, steps: Callable[[], Coroutine[None]], name: str) -> None:
+        self.tasks.append(self.loop.spawn(lasting(self.loop, steps, name), name))
+
+    def _mail_front(self, setup: config.Mail) -> None:
+        self.mail = MailFront(self.loop, self.exchange, setup)
+        self.exchange.fronts["mail"] = self.mail
+
+    def _mail_carrier(self, setup: config.Mail) -> None:
+        self.carrier = MailCarrier(self.loop, self.exchange, setup, 1)
+        self.exchange.carriers["mail"] = self.carrier
+        self.carrier.announce()
+        self._always(self.carrier.sweep, "mail pool")
+
+    def _share(self, told: config.Config) -> None:
+        """Half of the descriptors are for service clients, a quarter for idle connections to instances."""
+        sockets = told.limits.sockets
+        mail_clients = sum(where.most for where in told.mail.listen) if told.mail else 0
+        if self.server is not None:
+            self.server.listener.most = max(1, sockets // 2 - mail_clients)
+            self.pool.most_idle = sockets // 8
+        if self.mail is not None:
+            self.carrier.most_idle = sockets // 8
+
+    def configure(self, told: config.Config) -> None:
+        """Put another configuration in force, all of it or, where it cannot be used, nothing.
+
+        Where the platform's front listens, the folder of the journal and the seed stay until the next start.
+        """
+        if (told.platform is None) is not (self.server is None):
+            raise config.ConfigError("config: the platform's front cannot come or go while the process runs")
+        mail = told.mail or self.told.mail and replace(self.told.mail, listen=(), instances=())
+        mail = self.told.mail if self.leaving else mail
+        if mail is not None:  # raises where it cannot listen, before anything has changed
+            self._mail_front(mail) if self.mail is None else self.mail.configure(mail)
+        self.exchange.configure(told.settings)
+        if mail is not None:
+            self._mail_carrier(mail) if self.told.mail is None else self.carrier.configure(mail)
+        if told.platform is not None and self.discovery is not None:
+            self.discovery.move(told.platform.discovery)
+            self.notices.channel.move(told.platform.discovery)
+        self.exchange.journal.limit(told.journal_bytes)
+        self._trace(told)
+        self._door(told)
+        self.log_as(told)
+        self.told = replace(told, mail=mail)
+        self._share(self.told)
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Read the configuration anew; what cannot be used is logged, and the old one stays in force.
+
+        A set is read beside the loop, as a large one takes seconds; what is asked for meanwhile comes after.
+        The older files are short, and read here: on the platform's share of a core a thread cost service.
+        """
+        self._again = environ if self._reading else None
+        if self._reading:
+            return
+        self._reading, old = True, self.told
+
+        def read() -> config.Config:
+            return config.load(environ, anew=True).after(old)
+
+        if old.sources or old.mail_sources or config.has_set(environ):
+            from ashvale.net.aside import aside
+            aside(self.loop, read, self._loaded)
+            return
+        try:
+            told: config.Config | Exception = read()
+        except Exception as error:
+            told = error
+        self._loaded(told)
+
+    def _loaded(self, told: config.Config | Exception) -> None:
+        self._reading = False
+        if (again := self._again) is not None:  # what was read may be older than what it was asked for
+            self.reload(again)
+            return
+        try:
+            if isinstance(told, Exception):
+                raise told
+            self.configure(told)
+        except (config.ConfigError, OSError) as error:
+            log.error("configuration not used", extra={"why": str(error)})
+        except Exception:  # guards service against a fault that one file brings to light
+            log.exception("configuration not used")
+        else:
+            where = told.platform.discovery if told.platform else ("none", 0)
+            log.info("configuration read anew", extra={"discovery": f"{where[0]}:{where[1]}"})
+
+    @property
+    def reading(self) -> bool:
+        """True while a configuration is being read that was asked for."""
+        return self._reading
+
+    def addresses(self) -> dict[str, str]:
+        """Where each front listens."""
+        fronts = [self.server.listener] if self.server else []
+        fronts += [self.operator.listener] if self.operator else []
+        fronts += self.mail.listeners if self.mail else []
+        return {f"listen_{front.name}": f"{front.address[0]}:{front.address[1]}" for front in fronts}
+
+    def leave(self) -> None:
+        """Serve through the handover, deliver what can be delivered, and end."""
+        if self.leaving:
+            return
+        self.leaving, now = True, self.loop.now()
+        log.info("leaving")
+        # Guards what waits against a process that is about to end: the one beside it takes it over at once.
+        self._succeeded = self.exchange.journal.succeeded
+        self.exchange.close_at(now + (HANDOVER_MS if self._succeeded else LAST_SEND_MS))
+        if self.server is not None:
+            self.server.closing = True
+        self.loop.call_at(now + HANDOVER_MS, self._handed_over)
+        self.loop.call_at(now + END_MS, self.loop.stop)
+
+    def halt(self) -> None:
+        """End at once, as a kill would: for a courier that shares its loop with others."""
+        self.exchange.halt()
+        if self.tracer is not None and self.tracer.store is not None:
+            self.tracer.store.close()
+        for task in self.tasks:
+            task.cancel()
+        for listener in ((self.server.listener,) if self.server else ()) + tuple(
+                self.mail.listeners if self.mail else ()):
+            listener.close()
+            for connection in list(listener.open):
+                connection.close()
+
+    def _handed_over(self) -> None:
+        for front in (self.server, self.mail):
+            if front is not None:
+                front.leave()
+        self._end_when_idle()
+
+    def _end_when_idle(self) -> None:
+        if self.exchange.idle or self._succeeded and self.exchange.quiet:
+            self.loop.stop()
+        else:
+            self.loop.call_at(self.loop.now() + 20.0, self._end_when_idle)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -21,12 +21,11 @@
 from ashvale.control import Controller
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Full, Journal
-from ashvale.net.loop import Loop
+from ashvale.loop import Loop
 
 if TYPE_CHECKING:  # loaded only where they are on
     from ashvale.routing.door import Door
     from ashvale.routing.router import Facts
-    from ashvale.trace.recorder import Recorder
 
 NACK_MS = 500.0         # when to come back after a refusal at the door
 UNHEARD = float("inf")  # a wait of which the Controller has yet to hear
@@ -131,6 +130,41 @@
     def halt(self) -> None: ...
 
 
+class Tracer(Protocol):
+    """What is told of each message's way, where traces are on; it must never raise."""
+
+    def identify(self, command: Command) -> str: ...
+
+    def taken(self, entry: Entry, command: Command, began: float) -> None: ...
+
+    def refused(self, command: Command, why: str) -> None: ...
+
+    def begins(self, execution: Execution) -> None: ...
+
+    def begun(self, execution: Execution) -> None: ...
+
+    def settled(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float,
+                ended: float) -> None: ...
+
+    def headers(self, execution: Execution) -> list[tuple[str, str]]: ...
+
+    def turned(self, events: Iterable[api.Event], now: float) -> None: ...
+
+    def moved(self, entry: Entry, now: float) -> None: ...
+
+    def resumed(self, entry: Entry) -> None: ...
+
+    def answered(self, entry: Entry) -> None: ...
+
+    def untold(self, entry: Entry) -> None: ...
+
+    def withdrawn(self, entry: Entry) -> None: ...
+
+    def decided(self, entry: Entry) -> None: ...
+
+    def ended(self, entry: Entry) -> None: ...
+
+
 class Exchange:
     """Holds what was taken on until its end has been told."""
 
@@ -153,7 +187,7 @@
         self._out: dict[int, Execution] = {}         # by message
         self._events: list[api.Event] = []
         self._due = self.halted = False
-        self.tracer: Optional[Recorder] = None
+        self.tracer: Optional[Tracer] = None
         self.doors: dict[str, Door] = {}  # by front: routes, limits and pools, where a set has any
         self._steer = False  # a partner of a pool has opened or shut
         self._wall = loop.wall() - loop.now()
--- a/ashvale/lab/hunt.py
+++ b/ashvale/lab/hunt.py
@@ -15,8 +15,7 @@
 from ashvale.lab.judge import Broken
 from ashvale.lab.run import Message, Partner, Rehearsal, Scenario, Trouble, play
 from ashvale.lab.scenarios import CLASSES
-from ashvale.lab.stands import answer
-from ashvale.rehearsal import DROP, STALL
+from ashvale.lab.stands import DROP, STALL, answer
 
 ACTIONS: tuple[bytes | str, ...] = (
     DROP, STALL, answer(500), answer(503), answer(503, b"", retry_after="0.400"),
--- a/ashvale/lab/run.py
+++ b/ashvale/lab/run.py
@@ -16,13 +16,13 @@
 from typing import Any, Optional
 
 from ashvale import config
-from ashvale.__main__ import Courier
+from ashvale.courier import Courier
 from ashvale.journal import Full
 from ashvale.lab.disk import Killed, MemoryDisk
 from ashvale.lab.judge import Broken, Edges, judge
 from ashvale.lab.stands import Discovery, Endpoint, hand_in, settings
 from ashvale.lab.virtual import Process, VirtualLoop
-from ashvale.net.loop import Address
+from ashvale.loop import Address
 
 DOWN_MS = 300.0       # a courier that was killed begins again after so long
 GIVE_UP_MS = 90_000.0  # a run that has not come to its end by then, after the last message, is ended
--- a/ashvale/lab/stands.py
+++ b/ashvale/lab/stands.py
@@ -12,7 +12,7 @@
 from typing import Any, Optional
 
 from ashvale.lab.judge import Edges
-from ashvale.net.loop import (
+from ashvale.loop import (
     FOREVER,
     Broken,
     Connection,
@@ -24,8 +24,10 @@
     connect,
     sleep,
 )
-from ashvale.rehearsal import DROP, HERE, STALL
 
+HERE = "127.0.0.1"
+LONG_MS = 20000.0
+DROP, STALL = "drop", "stall"
 WATCH_MS = 10_000.0  # a watch is answered after so long, with whatever there is
 
 SETTINGS: dict[str, Any] = {
@@ -235,3 +237,25 @@
             continue
         edges.answered(loop.now(), id, head[9:12].decode("latin-1"))
         return
+
+
+def run(loop: Loop, steps: Coroutine[Any], limit_ms: float = 60000.0) -> Any:
+    """Run the loop until the coroutine has ended; return what it returned, or raise what it raised."""
+    result: list[Any] = []
+    faults: list[BaseException] = []
+
+    def whole() -> Coroutine[None]:
+        try:
+            result.append((yield from steps))
+        except Exception as error:  # handed on to the caller
+            faults.append(error)
+
+    task, end = loop.spawn(whole(), "steps"), loop.now() + limit_ms
+    while not task.done:
+        if loop.now() > end:
+            task.cancel()
+            raise Expired("the case has not ended in time")
+        loop.turn(50.0)
+    if faults:
+        raise faults[0]
+    return result[0]
--- a/ashvale/lab/virtual.py
+++ b/ashvale/lab/virtual.py
@@ -4,7 +4,7 @@
 the machine's clock, open a descriptor or depend on the order of a set: two runs from one seed are the same to
 the byte. Time passes only when nothing is left to do at the present one, then it jumps to what is due next.
 
-The sockets have what `ashvale.net.loop` uses of real ones, so that its connections, listeners and everything
+The sockets have what `ashvale.loop` uses of real ones, so that its connections, listeners and everything
 above run as they are. A stream has a delay, a window and an order; it can be cut at any byte, or fall silent.
 Times are milliseconds.
 """
@@ -19,7 +19,7 @@
 from collections.abc import Callable
 from typing import Any, Optional
 
-from ashvale.net.loop import Address, Coroutine, Loop, Task, Timer
+from ashvale.loop import Address, Coroutine, Loop, Task, Timer
 
 WINDOW = 65536          # bytes that are under way or unread on one stream
 EPOCH_MS = 1.7e12       # the wall clock at the start of every run
@@ -50,7 +50,7 @@
         self.cut_sent: Optional[int] = None   # bytes that may still be sent before it is
         self.lost = False  # something that was sent has not arrived
 
-    # What ashvale.net.loop uses of a socket
+    # What ashvale.loop uses of a socket
 
     def fileno(self) -> int:
         return self._number
@@ -249,7 +249,7 @@
 
 
 class VirtualLoop(Loop):
-    """The loop of `ashvale.net.loop` on a clock of its own."""
+    """The loop of `ashvale.loop` on a clock of its own."""
 
     def __init__(self, delay: DelayOf = lambda source, target: 0.1) -> None:
         super().__init__()
--- a/ashvale/net/aside.py
+++ b/ashvale/net/aside.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from ashvale.net.loop import Loop
+from ashvale.loop import Loop
 
 T = TypeVar("T")
 SWITCH_S = 0.0005
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -25,7 +25,7 @@
 from ashvale.exchange import DELIVERED, FAILED, RETURNED, Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
-from ashvale.net.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, Signal
+from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, Signal
 from ashvale.net.pool import Carrier, Stopped
 
 if TYPE_CHECKING:  # costs 300 KB where no mail is served
--- a/ashvale/net/operator.py
+++ b/ashvale/net/operator.py
@@ -17,7 +17,7 @@
 
 import h11
 
-from ashvale.net.loop import Address, Broken, Connection, Coroutine, Expired, Listener, Loop
+from ashvale.loop import Address, Broken, Connection, Coroutine, Expired, Listener, Loop
 
 CALL_MS = 1000.0    # a caller has this long for its call; guards the table against callers that say nothing
 CALLERS_MOST = 64   # connections at once; guards descriptors against a crowd of them
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -25,7 +25,7 @@
 from ashvale.exchange import DELIVERED, NACK_MS, RETURNED, Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
-from ashvale.net.loop import (
+from ashvale.loop import (
     FOREVER,
     Address,
     Broken,
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -13,7 +13,7 @@
 
 from ashvale.exchange import Exchange, Execution
 from ashvale.interface import Outcome
-from ashvale.net.loop import Connection, Coroutine, Loop, Task, connect, sleep
+from ashvale.loop import Connection, Coroutine, Loop, Task, connect, sleep
 
 EARLY_MS = 750.0  # a connection is given up this long before its instance would close it
 SWEEP_MS = 250.0
--- a/benchmarks/trace_cost.py
+++ b/benchmarks/trace_cost.py
@@ -23,7 +23,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from ashvale.net.loop import FOREVER, Broken, Coroutine, Expired, Loop, Signal, connect, sleep  # noqa: E402
+from ashvale.loop import FOREVER, Broken, Coroutine, Expired, Loop, Signal, connect, sleep  # noqa: E402
 from tests.stage import SETTINGS, Discovery, Endpoint, request  # noqa: E402
 
 DESTS, CLIENTS = 30, 40
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -10,10 +10,21 @@
 from typing import Any
 
 from ashvale import config
-from ashvale.__main__ import Courier
-from ashvale.lab.stands import Call, Discovery, Endpoint, answer, batch_ids, read_request, request, settings
-from ashvale.net.loop import Coroutine, Loop, connect, sleep
-from ashvale.rehearsal import HERE, LONG_MS, run
+from ashvale.courier import Courier
+from ashvale.lab.stands import (
+    HERE,
+    LONG_MS,
+    Call,
+    Discovery,
+    Endpoint,
+    answer,
+    batch_ids,
+    read_request,
+    request,
+    run,
+    settings,
+)
+from ashvale.loop import Coroutine, Loop, connect, sleep
 
 __all__ = ["Call", "Discovery", "Endpoint", "Scene", "answer", "batch_ids", "read_request", "reload",
            "request", "scene"]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ast
+import graphlib
 import json
 import subprocess
 import sys
@@ -150,3 +152,18 @@
     new = ashvale("import-haproxy", file)
     assert (new.exit_code, new.stdout) == (old.returncode, old.stdout) and "127.0.0.1:2626" in new.stdout
     assert "rehearse" in ashvale("--help").stdout
+
+
+def test_no_two_modules_import_each_other_in_a_circle() -> None:
+    """Guards the house's order: the loop below the core, the core below fronts, the command line on top."""
+    root = Path(__file__).parent.parent
+    names = {".".join(p.relative_to(root).with_suffix("").parts).removesuffix(".__init__"): p
+             for p in (root / "ashvale").rglob("*.py")}
+    needs: dict[str, set[str]] = {}
+    for name, path in names.items():
+        found = [node for node in ast.walk(ast.parse(path.read_text()))
+                 if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("ashvale")]
+        needs[name] = {whole if (whole := f"{node.module}.{alias.name}") in names else str(node.module)
+                       for node in found for alias in node.names} - {name}
+    assert len(names) > 50 and "ashvale.loop" in needs["ashvale.exchange"]
+    list(graphlib.TopologicalSorter(needs).static_order())  # raises CycleError
--- a/tests/test_config_layout.py
+++ b/tests/test_config_layout.py
@@ -11,14 +11,16 @@
 from hypothesis import strategies as st
 
 from ashvale import config
-from ashvale.__main__ import Courier
 from ashvale.config import mailset
 from ashvale.config.check import errors
 from ashvale.config.diff import apply, changes, diff, facts, summary
 from ashvale.config.layout import Unreadable, layout
 from ashvale.config.reader import Loaded
-from ashvale.net.loop import Loop
-from ashvale.rehearsal import RATE, Client, Partner, run, set_up
+from ashvale.courier import Courier
+from ashvale.lab.mail import Client, Partner
+from ashvale.lab.stands import run
+from ashvale.loop import Loop
+from ashvale.rehearsal import RATE, set_up
 from tests.stage import reload
 from tests.test_config_language import RIGHT, ROOT, ashvale, lay, read
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -13,8 +13,8 @@
 from ashvale.exchange import Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Full, Journal
-from ashvale.net.loop import Loop, sleep
-from ashvale.rehearsal import run
+from ashvale.lab.stands import run
+from ashvale.loop import Loop, sleep
 from tests.samples import KEYED, SAFE
 
 HUB = Instance("h", "1", ("127.0.0.1", 1), "hub")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,11 +17,10 @@
 from ashvale.lab.hunt import draw, hunt
 from ashvale.lab.run import Message, Partner, Rehearsal, Result, Scenario, Trouble, play
 from ashvale.lab.scenarios import SCENARIOS
-from ashvale.lab.stands import answer
+from ashvale.lab.stands import DROP, STALL, answer
 from ashvale.lab.virtual import WINDOW, Process, Stalled, VirtualLoop
-from ashvale.net.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, connect, sleep
+from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, connect, sleep
 from ashvale.net.platform import HttpClient, Reply, Server
-from ashvale.rehearsal import DROP, STALL
 from tests.test_config_language import ashvale
 
 HERE = ("127.0.0.1", 80)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from ashvale.net.loop import (
+from ashvale.lab.stands import HERE, run
+from ashvale.loop import (
     AGAIN_MS,
     Broken,
     Connection,
@@ -22,7 +23,6 @@
     lasting,
     sleep,
 )
-from ashvale.rehearsal import HERE, run
 
 
 def test_a_ring_is_a_queue_whatever_wraps_and_grows() -> None:
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -7,23 +7,11 @@
 import pytest
 
 from ashvale.interface import Outcome
+from ashvale.lab.mail import Client, Partner
+from ashvale.lab.stands import DROP, STALL, run
+from ashvale.loop import Address, Broken, Connection, Coroutine, Loop, connect, sleep
 from ashvale.net import mail, pool
-from ashvale.net.loop import Address, Broken, Connection, Coroutine, Loop, connect, sleep
-from ashvale.rehearsal import (
-    CASES,
-    DROP,
-    MESSAGE,
-    RATE,
-    STALL,
-    USAGE,
-    Case,
-    Client,
-    Partner,
-    Stage,
-    run,
-    set_up,
-    staged,
-)
+from ashvale.rehearsal import CASES, MESSAGE, RATE, USAGE, Case, Stage, set_up, staged
 from tests.stage import reload, scene
 
 SENDER, FROM = "x@home.example", "MAIL FROM:<x@home.example>"
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -20,9 +20,11 @@
 import pytest
 
 from ashvale import config, rehearsal
-from ashvale.__main__ import KeyValue
-from ashvale.net.loop import Broken, Coroutine, connect
-from ashvale.rehearsal import HERE, LONG_MS, Partner, run, set_up
+from ashvale.lab.mail import Partner
+from ashvale.lab.stands import HERE, LONG_MS, run
+from ashvale.log import KeyValue
+from ashvale.loop import Broken, Coroutine, connect
+from ashvale.rehearsal import set_up
 from tests.stage import Discovery, Endpoint, Scene, answer, request, scene
 from tests.test_door import SET
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -5,8 +5,8 @@
 import pytest
 
 from ashvale import config
-from ashvale.net.loop import Coroutine, connect
-from ashvale.rehearsal import HERE, LONG_MS, run
+from ashvale.lab.stands import HERE, LONG_MS, run
+from ashvale.loop import Coroutine, connect
 from tests.stage import Scene, scene
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,9 +10,9 @@
 from ashvale.exchange import Execution, Instance
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
+from ashvale.lab.stands import DROP, STALL
+from ashvale.loop import Address, Broken, Connection, Coroutine, Expired, Loop, connect, sleep
 from ashvale.net import platform, pool
-from ashvale.net.loop import Address, Broken, Connection, Coroutine, Expired, Loop, connect, sleep
-from ashvale.rehearsal import DROP, STALL
 from tests.stage import answer, batch_ids, request, scene
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -10,8 +10,10 @@
 
 import pytest
 
-from ashvale.net.loop import Coroutine, Loop, sleep
-from ashvale.rehearsal import DROP, Client, Partner, Stage, run
+from ashvale.lab.mail import Client, Partner
+from ashvale.lab.stands import DROP, run
+from ashvale.loop import Coroutine, Loop, sleep
+from ashvale.rehearsal import Stage
 from ashvale.routing.health import FAILURES, TRIAL_MS, Health
 from ashvale.routing.pools import SHUT, WAITING
 from tests.test_mail import MESSAGE, codes
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -15,13 +15,14 @@
 
 from ashvale import config, rehearsal
 from ashvale import interface as api
-from ashvale.__main__ import Courier
+from ashvale.courier import Courier
 from ashvale.exchange import Command, Exchange, Execution, Instance
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Journal
+from ashvale.lab.mail import Client, Partner
+from ashvale.lab.stands import DROP, STALL, run
+from ashvale.loop import Loop
 from ashvale.net import mail
-from ashvale.net.loop import Loop
-from ashvale.rehearsal import DROP, STALL
 from ashvale.trace import codec, report
 from ashvale.trace.model import ENDS, End, Kind, Reason
 from ashvale.trace.reader import Stock, Trace, read_all
@@ -359,15 +360,15 @@
     setup = tmp_path / "own.toml"
     setup.write_text(f"[trace]\nenabled = true\nshare = '100 %'\nmail_headers = {str(told).lower()}\n")
     loop = Loop()
-    partner = rehearsal.Partner(loop)
+    partner = Partner(loop)
     file = tmp_path / "mail.toml"
     file.write_text(rehearsal.set_up(partner.address[1]))
     courier = Courier(config.load({
         "ASHVALE_MAIL": str(file), "LB_STATE": str(tmp_path), "ASHVALE_SETTINGS": str(setup)}), loop)
     assert courier.mail is not None
-    client = rehearsal.Client(loop, courier.mail.listeners[0].address)
+    client = Client(loop, courier.mail.listeners[0].address)
     text = f"Traceparent: {PARENT}\r\nMessage-ID: <1@x>\r\n\r\nhello\r\n"
-    replies = rehearsal.run(loop, client.send("x@home.example", [rehearsal.RATE], text.encode(), False))
+    replies = run(loop, client.send("x@home.example", [rehearsal.RATE], text.encode(), False))
     assert replies[0].startswith("250")
     courier.halt()
     t, = read_all(tmp_path / "trace", Stock())
