Agree on one record with leases and a view of who is there, as machines without I/O

Need: drains, recovery and versioned settings stand on couriers that know each other and on one record of what was decided.

Nothing is wired into a courier yet: the platform's `run` is untouched.

--- /dev/null
+++ b/ashvale/fleet/agent.py
@@ -0,0 +1,615 @@
+"""One courier's part in the fleet: record, state, leases and view of the others, as one machine without I/O.
+
+It owns who may speak under a name, what is asked of whom, and when a lease may be used. It takes messages and
+time and returns `Effects`; it must never be asked for more before their saves are on the disk and their
+messages on the way. Times are monotonic milliseconds.
+
+A courier whose name was seen with a later incarnation than its folder knows has lost what it had (an empty
+folder, or an old copy): it takes a later one and votes no more until the leader has taken it out of the
+voters and in again. One that learns so while it runs has a successor, and falls silent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Union
+
+import msgspec
+
+from ashvale.fleet.members import Members, Rhythm, Status, View
+from ashvale.fleet.record import (
+    Append,
+    Appended,
+    Entry,
+    Install,
+    Out,
+    Pull,
+    Pulled,
+    Record,
+    Refused,
+    Role,
+    Saved,
+    Snapshot,
+    Timing,
+    Vote,
+    Voted,
+    majority,
+    voters_at,
+)
+from ashvale.fleet.state import Acquire, Command, Put, Release, Result, State, Unknown, encode
+
+COMPACT_AT = 2000        # entries in the log, beyond which what they came to takes their place
+OPEN_MOST = 256          # requests of this courier under way, and of others at a leader
+AGAIN_MS = 500.0         # a request goes to the leader again after so long
+GIVE_UP_MS = 5000.0      # and its outcome counts as unknown after so long
+READMIT = "readmit/"     # keys: the incarnation of a voter that lost its folder and may be taken in again
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """Asks whether anything newer of this name was seen."""
+
+
+class Welcome(msgspec.Struct, frozen=True, tag="welcome"):
+    """Nothing newer was; it is written down that this incarnation was seen."""
+
+
+class Stale(msgspec.Struct, frozen=True, tag="stale"):
+    """A later incarnation was seen, or another process with this very one: it is not heard.
+
+    `quiet` is for how many milliseconds that one has not been heard itself.
+    """
+
+    newest: int
+    life: str
+    quiet: float
+
+
+class Ping(msgspec.Struct, frozen=True, tag="ping"):
+    pass
+
+
+class Ack(msgspec.Struct, frozen=True, tag="ack"):
+    pass
+
+
+class Look(msgspec.Struct, frozen=True, tag="look"):
+    """Asks another to look whether `name` answers."""
+
+    name: str
+
+
+class Saw(msgspec.Struct, frozen=True, tag="saw"):
+    view: View
+
+
+class Propose(msgspec.Struct, frozen=True, tag="propose"):
+    """A command for the leader to have decided."""
+
+    id: str
+    data: bytes
+
+
+class Proposed(msgspec.Struct, frozen=True, tag="proposed"):
+    """What it came to; `retry` where this courier cannot say."""
+
+    id: str
+    result: Result
+    retry: bool = False
+
+
+class Renew(msgspec.Struct, frozen=True, tag="renew"):
+    lease: str
+    number: int
+    sent: float
+
+
+class Renewed(msgspec.Struct, frozen=True, tag="renewed"):
+    """`ok` false: the lease is another's, or nobody's. No answer comes from who does not surely lead."""
+
+    lease: str
+    number: int
+    ok: bool
+    sent: float
+
+
+Body = Union[Vote, Voted, Append, Install, Appended, Pull, Pulled, Hello, Welcome, Stale, Ping, Ack, Look,
+             Saw, Propose, Proposed, Renew, Renewed]
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message, who sends it under which incarnation and life, and what it thinks of others."""
+
+    sender: str
+    incarnation: int
+    life: str
+    lost: bool
+    views: tuple[View, ...]
+    body: Body
+
+
+class Kept(msgspec.Struct):
+    """What a courier's folder holds besides the record."""
+
+    incarnation: int = 0
+    lost: bool = False
+    seen: dict[str, tuple[int, str]] = {}  # by name: the latest incarnation, and its life
+
+
+@dataclass(frozen=True)
+class Setup:
+    """What the operator's file says of the fleet."""
+
+    fleet: str
+    name: str
+    peers: tuple[str, ...]            # all names but the own
+    voters: tuple[str, ...]           # who votes where there is no record yet
+    timing: Timing = Timing()
+    rhythm: Rhythm = Rhythm()
+    follow: float = 1000.0            # how often one that does not vote asks what was decided
+
+
+@dataclass
+class Effects:
+    """First save, with one sync, then send, then tell."""
+
+    record: list[Out] = field(default_factory=list)    # in order; `compacted` goes last
+    compacted: bool = False
+    kept: bool = False
+    sends: list[tuple[str, Body]] = field(default_factory=list)
+    results: list[tuple[str, Result]] = field(default_factory=list)
+    changes: list[tuple[str, dict[str, object]]] = field(default_factory=list)  # for the log
+
+    @property
+    def saves(self) -> bool:
+        return self.kept or self.compacted or any(out.saves for out in self.record)
+
+
+@dataclass
+class Request:
+    """A command of this courier that is under way."""
+
+    command: Command
+    began: float
+    again: float
+
+
+@dataclass
+class Held:
+    """A lease that this courier holds: usable until then, by its own clock."""
+
+    number: int
+    ttl: float
+    until: float
+    renew: float
+
+
+class Agent:
+    """See the module. `life` tells two processes with one name and incarnation apart."""
+
+    def __init__(self, setup: Setup, saved: Saved, kept: Kept, life: str, random: Random, now: float) -> None:
+        self.setup, self.kept, self.life, self.random = setup, kept, life, random
+        if not (saved.snapshot.voters or saved.snapshot.index):
+            saved.snapshot = Snapshot(voters=tuple(sorted(setup.voters)))
+        self.record = Record(setup.name, saved, setup.timing, random, now)
+        self.state = State(saved.snapshot.state)
+        self.kept.incarnation += 1
+        self.members = Members(setup.name, self.kept.incarnation, setup.peers, setup.rhythm, random, now)
+        self.aside_until = 0.0  # above nought: another process acts under this name; asked again then
+        self.stopped = ""       # why this process takes part no more
+        self.confirmed: set[str] = set()
+        self.requests: dict[str, Request] = {}
+        self.asked_by: dict[str, set[str]] = {}     # at the leader: who waits to hear of a command
+        self.leases: dict[str, Held] = {}
+        self.renewed: dict[str, float] = {}         # at the leader: when a lease was last renewed
+        self.lost_voters: dict[str, int] = {}
+        self.looks: dict[str, set[str]] = {}
+        self.pull_at = self.hello_at = now
+        self.follows: Callable[[Command, Result], None] = lambda command, result: None
+        self._begun = False
+        self._was: tuple[object, ...] = ()
+        self._fx = Effects(kept=True)
+
+    # What drives it
+
+    def tick(self, now: float) -> Effects:
+        """What time brings; to be asked for at `due`, and right after the start."""
+        if self.stopped:
+            return Effects()
+        if self.aside_until > 0.0:
+            if now >= self.aside_until:  # whether the other is still there
+                self.aside_until = now + 2 * self.setup.rhythm.suspect
+                self._fx.sends += [(v, Hello()) for v in self.record.voters if v != self.setup.name]
+            self.members.stalled(now)
+            return self._done(now)
+        if (late := self.members.stalled(now)) > self.setup.timing.election:
+            self._woke(late, now)
+        if now >= self.record.due:
+            self._take(self.record.tick(now), now)
+        self._confirm(now)
+        self._follow(now)
+        asks, helps = self.members.tick(now)
+        self._fx.sends += [(name, Ping()) for name in asks]
+        self._fx.sends += [(helper, Look(name)) for helper, name in helps]
+        self._readmit(now)
+        self._requests(now)
+        self._renew(now)
+        return self._done(now)
+
+    @property
+    def due(self) -> float:
+        """When `tick` is to be called next."""
+        times = [self.record.due, self.members.due, self.members.last_tick + self.setup.rhythm.every]
+        if not self._votes():
+            times.append(self.pull_at)
+            if self._unconfirmed():
+                times.append(self.hello_at)
+        times += [r.again for r in self.requests.values()] + [h.renew for h in self.leases.values()]
+        return 1e18 if self.stopped else self.aside_until or min(times)
+
+    def receive(self, m: Envelope, now: float) -> Effects:
+        """Take a message from a peer that the transport knows to be one."""
+        if self.stopped or m.sender not in self.members.members:
+            return Effects()
+        if self.aside_until > 0.0:
+            if isinstance(m.body, Welcome):
+                self.aside_until = 0.0
+            elif isinstance(m.body, Stale) and m.body.quiet >= self.setup.rhythm.suspect:
+                self.aside_until = 0.0
+                self._stale(m.body, now)
+            return self._done(now)
+        newest, life = self.kept.seen.get(m.sender, (0, ""))
+        if m.incarnation < newest or (m.incarnation == newest and life not in ("", m.life)):
+            if not isinstance(m.body, Stale):
+                quiet = now - self.members.members[m.sender].heard
+                self._fx.sends.append((m.sender, Stale(newest, life, quiet)))
+            return self._done(now)
+        if m.incarnation > newest:
+            self.kept.seen[m.sender] = m.incarnation, m.life
+            self._fx.kept = True
+            self.record.forget(m.sender)  # it may have less than it had
+            self._log("begins", peer=m.sender, incarnation=m.incarnation)
+        if m.lost:
+            self.lost_voters[m.sender] = m.incarnation
+        else:
+            self.lost_voters.pop(m.sender, None)
+        if m.views and m.views[0].name == m.sender:
+            self.members.heard(m.views[0], now)
+        self.members.told(list(m.views[1:]), m.sender, now)
+        self._handle(m.sender, m.body, now)
+        return self._done(now)
+
+    def request(self, command: Command, now: float) -> Effects:
+        """Have a command decided; `Effects.results` tells what came of it, by its id, in time."""
+        if self.stopped or self.aside_until or len(self.requests) >= OPEN_MOST:
+            self._fx.results.append((command.id, Result(False, 0, self.stopped or "too much under way")))
+        else:
+            if isinstance(command, Release):
+                self.leases.pop(command.lease, None)  # not used any more before anybody else may have it
+            self.requests[command.id] = Request(command, now, now)
+            self._requests(now)
+        return self._done(now)
+
+    def change(self, voters: tuple[str, ...], now: float) -> Effects:
+        """Other voters, at the leader. Raises `Refused`."""
+        _, out = self.record.change(voters, now)
+        self._take(out, now)
+        return self._done(now)
+
+    def envelope(self, peer: str, body: Body) -> Envelope:
+        """What goes to `peer`: with what is thought of the peer itself, so that it can say otherwise."""
+        views = self.members.gossip()
+        about = self.members.members.get(peer)
+        if about is not None and about.status is Status.SUSPECT:
+            views.insert(1, about.view)
+        return Envelope(self.setup.name, self.kept.incarnation, self.life, self.kept.lost, tuple(views), body)
+
+    def holds(self, lease: str, now: float) -> int:
+        """The number of a lease that may be used at this very moment; 0 where it may not. Ask at each use."""
+        held = self.leases.get(lease)
+        return held.number if held is not None and now < held.until else 0
+
+    @property
+    def majority(self) -> bool:
+        """Whether this courier knows of a leader, as far as it can tell."""
+        return bool(self.record.leader) and not self.stopped
+
+    # Names and incarnations
+
+    def _votes(self) -> bool:
+        return self.record.may_vote and self.setup.name in self.record.voters
+
+    def _unconfirmed(self) -> bool:
+        voter = self.setup.name in self.record.voters
+        return voter and not (self.record.may_vote or self.kept.lost or self.stopped)
+
+    def _confirm(self, now: float) -> None:
+        """A voter asks whether anything newer of its name was seen, before it votes."""
+        if not self._unconfirmed():
+            return
+        if len(self.confirmed) >= majority(self.record.voters) - 1:
+            self.record.may_vote = True
+            self._log("may vote", incarnation=self.kept.incarnation)
+        elif now >= self.hello_at:
+            self.hello_at = now + self.setup.timing.beat
+            self._fx.sends += [(v, Hello()) for v in self.record.voters
+                               if v != self.setup.name and v not in self.confirmed]
+
+    def _stale(self, m: Stale, now: float) -> None:
+        if m.newest < self.kept.incarnation or m.life == self.life:
+            return  # what this very process sent before it knew better, and came late
+        self.record.may_vote, self._begun = False, False
+        self.confirmed.clear()
+        self.leases.clear()
+        if self.record.role is not Role.FOLLOWER:
+            self.record.role, self.record.leader = Role.FOLLOWER, ""
+        if m.quiet < self.setup.rhythm.suspect:
+            # Guards against two that act under one name: this one says no more while the other is there.
+            self._log("another process has this name", incarnation=m.newest)
+            self.aside_until = now + 2 * self.setup.rhythm.suspect
+            return
+        self.kept.incarnation, self.kept.lost, self._fx.kept = m.newest + 1, True, True
+        self.members.own = View(self.setup.name, m.newest + 1, 0, Status.JOINING)
+        self._log("folder lost or old", seen=m.newest, incarnation=self.kept.incarnation)
+
+    def _readmit(self, now: float) -> None:
+        """The leader takes a voter that lost its folder out, and in again: earlier votes count no more."""
+        record = self.record
+        if record.role is not Role.LEADER:
+            return
+        for name, incarnation in list(self.lost_voters.items()):
+            key, wanted = READMIT + name, str(incarnation)
+            known = self.state.keys.get(key)
+            try:
+                if name in record.voters and known is not None and known.data == wanted:
+                    continue  # it is back, and has yet to hear of it
+                if name in record.voters:
+                    self._take(record.change([v for v in record.voters if v != name], now)[1], now)
+                elif name not in self.setup.voters:
+                    self.lost_voters.pop(name)
+                elif known is None or known.data != wanted:
+                    self._propose(Put(f"{key}/{wanted}", key, wanted), now)
+                else:
+                    self._take(record.change([*record.voters, name], now)[1], now)
+            except Refused:
+                continue  # one change at a time
+
+    def _returned(self) -> None:
+        """Whether the record says that this voter, once lost, is one again."""
+        key = self.state.keys.get(READMIT + self.setup.name)
+        if self.kept.lost and key is not None and key.data == str(self.kept.incarnation) and (
+                self.setup.name in voters_at(self.record, self.record.applied)):
+            self.kept.lost, self._fx.kept, self.record.may_vote = False, True, True
+            self._log("votes again", incarnation=self.kept.incarnation)
+
+    def _woke(self, late: float, now: float) -> None:
+        """This process stood still: it learns what happened before it acts. Leases ended by themselves."""
+        self._log("stood still", ms=round(late))
+        self.leases = {name: held for name, held in self.leases.items() if now < held.until}
+        for member in self.members.members.values():
+            member.heard = min(member.heard, now)
+        self.members._open.clear()  # guards others against the suspicion of one who was not there himself
+        self.pull_at = now
+        self.record.deadline = max(self.record.deadline, now + self.setup.timing.election)
+
+    # Messages
+
+    def _handle(self, sender: str, body: Body, now: float) -> None:
+        if isinstance(body, Hello):
+            self._fx.sends.append((sender, Welcome()))
+        elif isinstance(body, Welcome):
+            self.confirmed.add(sender)
+            self._confirm(now)
+        elif isinstance(body, Stale):
+            self._stale(body, now)
+        elif isinstance(body, Ping):
+            self._fx.sends.append((sender, Ack()))
+        elif isinstance(body, Ack):
+            for asker in self.looks.pop(sender, ()):
+                self._fx.sends.append((asker, Saw(self.members.members[sender].view)))
+        elif isinstance(body, Look):
+            if body.name in self.members.members and len(self.looks) < OPEN_MOST:
+                self.looks.setdefault(body.name, set()).add(sender)
+                self._fx.sends.append((body.name, Ping()))
+        elif isinstance(body, Saw):
+            self.members.heard(body.view, now)
+        elif isinstance(body, Propose):
+            self._proposed_by(sender, body, now)
+        elif isinstance(body, Proposed):
+            if body.id in self.requests and not body.retry:
+                self._result(body.id, body.result, now)
+        elif isinstance(body, Renew):
+            self._renew_for(sender, body, now)
+        elif isinstance(body, Renewed):
+            self._renewed(body)
+        else:
+            self._take(self.record.handle(sender, body, now), now)
+            if isinstance(body, Pulled):
+                self._begun = True
+                if body.entries and body.commit > self.record.commit:
+                    self.pull_at = now  # there is more
+
+    def _take(self, out: Out, now: float) -> None:
+        """Note what the record wants, and apply what is decided."""
+        fx = self._fx
+        fx.record.append(out)
+        fx.sends += out.messages
+        if out.installed is not None and out.installed.index > self.state.applied:
+            self.state = State(out.installed.state) if out.installed.state else State()
+            self.state.skip(out.installed.index)
+        for entry in out.decided:
+            if entry.index > self.state.applied:
+                self._apply(entry, now)
+        if out.decided or out.installed is not None:
+            self._returned()
+        if len(self.record.log) > COMPACT_AT and self.record.applied > self.record.snapshot.index:
+            self.record.compact(self.record.applied, self.state.pack())
+            fx.compacted = True
+
+    def _apply(self, entry: Entry, now: float) -> None:
+        if entry.kind != "put":
+            self.state.skip(entry.index)
+            if entry.kind == "voters":
+                self._log("voters", voters=entry.data.decode(), index=entry.index)
+            return
+        try:
+            command, result = self.state.apply(entry.index, entry.data)
+        except Unknown as error:  # decided by a later version: guards this one against a state of its own
+            self.stopped = f"entry {entry.index} is not understood: {error}"
+            self.record.may_vote = False
+            self._log("stopped", why=self.stopped)
+            return
+        if isinstance(command, (Acquire, Release)) and result.ok:
+            self.renewed[command.lease] = now
+        for peer in self.asked_by.pop(command.id, ()):
+            self._fx.sends.append((peer, Proposed(command.id, result)))
+        if command.id in self.requests:
+            self._result(command.id, result, now)
+        self.follows(command, result)
+
+    # Requests
+
+    def _requests(self, now: float) -> None:
+        for id, request in list(self.requests.items()):
+            if now - request.began >= GIVE_UP_MS:
+                self._result(id, Result(False, 0, "unknown: no majority answered in time"), now)
+            elif now >= request.again:
+                request.again = min(now + AGAIN_MS, request.began + GIVE_UP_MS)
+                leader = self.record.leader
+                if self.record.role is Role.LEADER:
+                    self._propose(request.command, now)
+                elif leader:
+                    self._fx.sends.append((leader, Propose(id, encode(request.command))))
+
+    def _propose(self, command: Command, now: float) -> None:
+        """At the leader: into the log, unless it is there already."""
+        if (known := self.state.done(command.id)) is not None:
+            if command.id in self.requests:
+                self._result(command.id, known, now)
+            return
+        if command.id in self.asked_by:
+            return
+        if isinstance(command, Acquire):
+            command = msgspec.structs.replace(command, over=self._lapsed(command.lease, now))
+        try:
+            _, out = self.record.propose(encode(command), now)
+        except Refused:
+            return
+        self.asked_by[command.id] = set()
+        self._take(out, now)
+
+    def _proposed_by(self, sender: str, m: Propose, now: float) -> None:
+        if (known := self.state.done(m.id)) is not None:
+            self._fx.sends.append((sender, Proposed(m.id, known)))
+            return
+        if self.record.role is not Role.LEADER or len(self.asked_by) >= OPEN_MOST:
+            self._fx.sends.append((sender, Proposed(m.id, Result(False), retry=True)))
+            return
+        try:
+            command = msgspec.json.decode(m.data, type=Command)
+        except msgspec.MsgspecError as error:
+            self._fx.sends.append((sender, Proposed(m.id, Result(False, 0, str(error)))))
+            return
+        if command.id != m.id:
+            return
+        self._propose(command, now)
+        if m.id in self.asked_by:
+            self.asked_by[m.id].add(sender)
+        elif (known := self.state.done(m.id)) is not None:  # a fleet of one voter decides at once
+            self._fx.sends.append((sender, Proposed(m.id, known)))
+
+    def _result(self, id: str, result: Result, now: float) -> None:
+        request = self.requests.pop(id)
+        command = request.command
+        if isinstance(command, Acquire) and result.ok and command.holder == self.setup.name:
+            # Counted from before it was asked for: the leader counts from later.
+            until = request.began + command.ttl * (1.0 - self.setup.timing.drift)
+            self.leases[command.lease] = Held(result.number, command.ttl, until, now + command.ttl / 3)
+        self._fx.results.append((id, result))
+
+    # Leases
+
+    def _lapsed(self, lease: str, now: float) -> int:
+        """At the leader: the number of a lease that nobody can use any more; 0 where that is not sure.
+
+        Its holder counted from before it asked and by a clock that runs slower by `drift` at most; this
+        leader counts from when it applied the grant or renewed it, or else from when it began to lead, since
+        before that an earlier leader may have renewed it.
+        """
+        held = self.state.leases.get(lease)
+        if held is None:
+            return 0
+        since = max(self.renewed.get(lease, 0.0), self.record.led_since)
+        return held.number if now - since > held.ttl * (1.0 + self.setup.timing.drift) else 0
+
+    def _renew(self, now: float) -> None:
+        for lease, held in list(self.leases.items()):
+            if now >= held.until:
+                del self.leases[lease]
+                self._log("lease ended", lease=lease, number=held.number)
+            elif now >= held.renew:
+                held.renew = now + held.ttl / 6
+                renew = Renew(lease, held.number, now)
+                if self.record.role is Role.LEADER:
+                    self._renew_for(self.setup.name, renew, now)
+                elif self.record.leader:
+                    self._fx.sends.append((self.record.leader, renew))
+
+    def _renew_for(self, sender: str, m: Renew, now: float) -> None:
+        if now >= self.record.leads_until(now) or self.record.applied < self.record.commit:
+            return  # guards a lease against two leaders that each renew, or give away
+        held = self.state.leases.get(m.lease)
+        ok = held is not None and (held.holder, held.number) == (sender, m.number)
+        if ok:
+            self.renewed[m.lease] = now
+        answer = Renewed(m.lease, m.number, ok, m.sent)
+        if sender == self.setup.name:
+            self._renewed(answer)
+        else:
+            self._fx.sends.append((sender, answer))
+
+    def _renewed(self, m: Renewed) -> None:
+        held = self.leases.get(m.lease)
+        if held is None or held.number != m.number:
+            return
+        if m.ok:
+            held.until = max(held.until, m.sent + held.ttl * (1.0 - self.setup.timing.drift))
+            held.renew = m.sent + held.ttl / 3
+        else:
+            del self.leases[m.lease]
+
+    # Those who do not vote
+
+    def _follow(self, now: float) -> None:
+        """Ask a voter what was decided; one alone in its fleet has nobody to ask."""
+        if self._votes() or now < self.pull_at:
+            return
+        voters = [v for v in self.record.voters if v != self.setup.name]
+        if voters:
+            self.pull_at = now + self.setup.follow * self.random.uniform(0.9, 1.1)
+            self._fx.sends.append((self.random.choice(voters), self.record.pull))
+
+    # What is told
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._fx.changes.append((event, fields))
+
+    def _done(self, now: float) -> Effects:
+        """All that came together since the last time, with what has changed for the log."""
+        if self.record.role is Role.LEADER or self._votes() and self.record.leader:
+            self._begun = True
+        if self._begun and self.members.own.status == Status.JOINING and not self.stopped:
+            self.members.serving()
+            self._log("serving", incarnation=self.kept.incarnation)
+        view = self.record.role, self.record.leader, self.record.term
+        if view != self._was:
+            self._was = view
+            self._log("view of the record", role=view[0].value, leader=view[1] or "nobody", term=view[2])
+        for change in self.members.changes:
+            self._log("member", peer=change.name, before=change.before, now=change.now, by=change.by)
+        self.members.changes.clear()
+        if self.record.role is not Role.LEADER and self.asked_by:
+            self.asked_by.clear()  # who asked asks the next leader
+        found, self._fx = self._fx, Effects()
+        return found
