Let real couriers agree: folder, peers' channel, [fleet] in the file, and ashvale fleet

Need: the agreement machines were wired into nothing. Off and unloaded without `[fleet]`.

The folder cut at every byte and spoilt at many.

--- a/ashvale/cli/__init__.py
+++ b/ashvale/cli/__init__.py
@@ -12,6 +12,7 @@
 import click
 
 from ashvale.cli.config import config
+from ashvale.cli.fleet import fleet
 from ashvale.cli.lab import lab
 from ashvale.cli.trace import trace
 
@@ -28,6 +29,7 @@
 ashvale.add_command(trace)
 ashvale.add_command(config)
 ashvale.add_command(lab)
+ashvale.add_command(fleet)
 
 
 @ashvale.command("import-haproxy")
--- a/ashvale/config/__init__.py
+++ b/ashvale/config/__init__.py
@@ -12,6 +12,7 @@
     MAIL_KIND,
     OWN_FILE,
     Config,
+    Fleet,
     Limits,
     Listen,
     Mail,
@@ -28,6 +29,6 @@
     with_mail,
 )
 
-__all__ = ["GOOD_MAIL", "GOOD_SET", "MAIL_CLASS", "MAIL_KIND", "OWN_FILE", "Config", "ConfigError", "Limits",
-           "Listen", "Mail", "MailInstance", "Platform", "Rule", "Trace", "address", "get", "has_set", "load",
-           "mail", "parse", "read_toml", "settings", "trace", "with_mail"]
+__all__ = ["GOOD_MAIL", "GOOD_SET", "MAIL_CLASS", "MAIL_KIND", "OWN_FILE", "Config", "ConfigError", "Fleet",
+           "Limits", "Listen", "Mail", "MailInstance", "Platform", "Rule", "Trace", "address", "get",
+           "has_set", "load", "mail", "parse", "read_toml", "settings", "trace", "with_mail"]
--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -81,6 +81,31 @@
     form: str = "logfmt"
 
 
+@dataclass(frozen=True)
+class Peer:
+    """A courier of the fleet, as the file lists it."""
+
+    name: str
+    address: tuple[str, int]
+    votes: bool
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """A courier's part in a fleet whose couriers agree; times are milliseconds, `drift` a share of a span."""
+
+    name: str
+    courier: str
+    listen: tuple[str, int]
+    peers: tuple[Peer, ...]
+    election_ms: float
+    beat_ms: float
+    drift: float
+    every_ms: float
+    suspect_ms: float
+    follow_ms: float
+
+
 @dataclass(frozen=True)
 class Config:
     """All that one courier is told."""
@@ -98,6 +123,7 @@
     mail_plan: Optional[Plan] = None  # limits and pools of the mail front's set
     mail_sources: Mapping[str, bytes] = field(default_factory=dict)
     log: Log = Log()
+    fleet: Optional[Fleet] = None
 
     def after(self, old: Config) -> Config:
         """The same, sharing with what was in force all of the sets that has not changed."""
@@ -150,7 +176,10 @@
 
 
 _OWN_KEYS = {"trace": {"enabled", "folder", "budget", "age", "share", "slowest", "details", "live",
-                       "mail_headers"}, "log": {"level", "form"}}
+                       "mail_headers"}, "log": {"level", "form"},
+             "fleet": {"name", "courier", "listen", "peer", "election", "beat", "drift", "every", "suspect",
+                       "follow"}}
+VOTERS_MOST, PEERS_MOST = 7, 512
 
 
 def _quantity(table: Any, key: str, kind: str, default: str, least: float, what: str) -> float:
@@ -179,7 +208,69 @@
     mail = told.mail
     if mail is not None and found is not None and found.mail_headers:
         mail = replace(mail, trace_headers=True)
-    return replace(told, trace=found, mail=mail, plan=plan, sources=sources, log=_log(root, file.name))
+    return replace(told, trace=found, mail=mail, plan=plan, sources=sources, log=_log(root, file.name),
+                   fleet=fleet(root, told, file.name))
+
+
+def fleet(root: Any, told: Config, what: str) -> Optional[Fleet]:
+    """Check and read `[fleet]`; None where the file has none, and the couriers do not talk."""
+    if "fleet" not in root:
+        return None
+    table, where = get(root, "fleet", dict, what=what), f"{what}: fleet"
+    for key in table:
+        if key not in _OWN_KEYS["fleet"]:
+            raise ConfigError(f"{where}: unknown key '{key}'")
+    names, addresses, peers = set[str](), dict[tuple[str, int], str](), list[Peer]()
+    taken = {told.platform.listen: "listen", told.platform.operator: "operator"} if told.platform else {}
+    taken |= {place.address: "the mail front" for place in told.mail.listen} if told.mail else {}
+    for number, line in enumerate(get(table, "peer", list, what=where), 1):
+        at = f"{where}: peer {number}"
+        for key in line if isinstance(line, dict) else ():
+            if key not in ("name", "address", "votes"):
+                raise ConfigError(f"{at}: unknown key '{key}'")
+        where_at = address(get(line, "address", str, what=at), "address", at)
+        one = Peer(get(line, "name", str, what=at), where_at,
+                   get(line, "votes", bool, False, at))
+        if not one.name or len(one.name) > 60 or "/" in one.name or one.name in names:
+            raise ConfigError(f"{at}: key 'name' is '{one.name}', a name used once was expected")
+        if one.address in addresses:
+            raise ConfigError(f"{at}: key 'address' is that of '{addresses[one.address]}' already")
+        names.add(one.name)
+        addresses[one.address] = one.name
+        peers.append(one)
+    own = get(table, "courier", str, told.name, where)
+    voters = sum(peer.votes for peer in peers)
+    if own not in names:
+        raise ConfigError(f"{where}: key 'courier' is '{own}', which no peer is called")
+    if not voters:
+        raise ConfigError(f"{where}: key 'votes' is set at no peer, so no majority is possible")
+    if voters > VOTERS_MOST or len(peers) > PEERS_MOST:
+        raise ConfigError(f"{where}: key 'peer' lists {len(peers)} with {voters} that vote, at most "
+                          f"{PEERS_MOST} and {VOTERS_MOST} were expected")
+    if voters % 2 == 0:
+        log.warning("an even number of voters bears no more losses than one less", extra={"voters": voters})
+    listen = get(table, "listen", str, "", where)
+    own_at = next(peer.address for peer in peers if peer.name == own)
+    listen_at = address(listen, "listen", where) if listen else own_at
+    if (other := taken.get(listen_at)) is not None:
+        raise ConfigError(f"{where}: key 'listen' is the address of {other} already")
+    made = Fleet(
+        get(table, "name", str, what=where), own, listen_at, tuple(peers),
+        _quantity(table, "election", "time", "1 s", 50.0, where),
+        _quantity(table, "beat", "time", "200 ms", 10.0, where),
+        _quantity(table, "drift", "share", "1 %", 0.0, where),
+        _quantity(table, "every", "time", "500 ms", 10.0, where),
+        _quantity(table, "suspect", "time", "3 s", 50.0, where),
+        _quantity(table, "follow", "time", "1 s", 10.0, where))
+    if not made.name or "/" in made.name or len(made.name) > 60:
+        raise ConfigError(f"{where}: key 'name' is '{made.name}', a short name without '/' was expected")
+    if made.drift > 0.2:
+        raise ConfigError(f"{where}: key 'drift' is above 20 %")
+    for key, value, times, over in (("election", made.election_ms, 3.0, "beat"),
+                                    ("suspect", made.suspect_ms, 2.0, "every")):
+        if value < times * getattr(made, f"{over}_ms"):
+            raise ConfigError(f"{where}: key '{key}' is below {times:g} times '{over}'")
+    return made
 
 
 def _log(root: Any, what: str) -> Log:
--- a/ashvale/config/declare.py
+++ b/ashvale/config/declare.py
@@ -201,6 +201,29 @@
         str, choice("`logfmt` for key=value lines, `json` for one object a line", *FORMS)] = "logfmt"
 
 
+class Peer(msgspec.Struct, forbid_unknown_fields=True):
+    """A courier of the fleet."""
+
+    name: Annotated[str, text("Its name, used once")]
+    address: Annotated[str, text("Where it takes its peers' calls, as `address:port`")]
+    votes: Annotated[bool, text("Whether it votes: best at three, five or seven")] = False
+
+
+class Fleet(msgspec.Struct, forbid_unknown_fields=True):
+    """Couriers that agree; without this table they do not talk. See docs/fleet.md."""
+
+    name: Annotated[str, text("The fleet's name; others are refused")]
+    peer: Annotated[list[Peer], Meta(description="All couriers of the fleet, this one too")]
+    courier: Annotated[str, text("This courier's name among them; its own where none is given")] = ""
+    listen: Annotated[str, text("Where it listens, if not at its address among the peers")] = ""
+    election: Annotated[Time, quantity("time", "Silence of a leader before another is voted for")] = "1 s"
+    beat: Annotated[Time, quantity("time", "How often a leader says that it is there")] = "200 ms"
+    drift: Annotated[Share, quantity("share", "How far two clocks may run apart")] = "1 %"
+    every: Annotated[Time, quantity("time", "How often one other is asked whether it is there")] = "500 ms"
+    suspect: Annotated[Time, quantity("time", "How long one is suspect before it counts as out")] = "3 s"
+    follow: Annotated[Time, quantity("time", "How often one that does not vote asks for news")] = "1 s"
+
+
 class Set(msgspec.Struct, forbid_unknown_fields=True):
     """A whole set of files, read as one."""
 
@@ -212,6 +235,7 @@
     courier: Annotated[Optional[Courier], Meta(description="The courier itself")] = None
     trace: Annotated[Optional[Trace], Meta(description="Tracing")] = None
     log: Annotated[Optional[Log], Meta(description="The log")] = None
+    fleet: Annotated[Optional[Fleet], Meta(description="The fleet")] = None
     listen: Annotated[list[Listener], Meta(description="Where the mail front listens")] = []
     class_: Annotated[dict[str, Class], Meta(description="Classes of message, by name")] = msgspec.field(
         default_factory=dict, name="class"
@@ -224,7 +248,7 @@
     route: Annotated[list[Route], Meta(description="Routes; the first that fits counts")] = []
 
 
-SINGLE = ("courier", "trace", "log")
+SINGLE = ("courier", "trace", "log", "fleet")
 """Tables that a set has once."""
 
 NAMED = ("class", "network", "partner", "pool", "limit", "policy")
@@ -251,7 +275,7 @@
         brackets = f"[[{head}]]" if struct is Member else f"[{head}.NAME]"
         lines += _section(brackets, struct)
     for head, struct in (("[[route]]", Route), ("[[listen]]", Listener), ("[courier]", Courier),
-                         ("[trace]", Trace), ("[log]", Log)):
+                         ("[trace]", Trace), ("[log]", Log), ("[fleet]", Fleet), ("[[fleet.peer]]", Peer)):
         lines += _section(head, struct)
     return "\n".join(lines)
 
--- a/ashvale/config/mailset.py
+++ b/ashvale/config/mailset.py
@@ -20,7 +20,7 @@
 from ashvale.routing.build import Plan, plan
 
 POLICY = "mail"
-OWN = ("trace", "log")  # tables that a courier follows whatever it serves
+OWN = ("trace", "log", "fleet")  # tables that a courier follows whatever it serves
 
 
 def files_below(root: Path) -> Files:
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from ashvale.fleet.node import Node
     from ashvale.net.operator import Door
     from ashvale.trace.recorder import Recorder
 
@@ -60,10 +61,22 @@
         self.operator: Optional[Door] = None
         if told.platform is not None and told.platform.operator is not None and self.server is not None:
             self._operator(told.platform.operator, told.state)
+        self.fleet: Optional[Node] = None
+        if told.fleet is not None:
+            self._fleet(told.fleet, told.state)
         if journal.waiting:
             log.info("journal of a process still running; ours is beside it until it ends")
             self.loop.call_at(self.loop.now() + ADOPT_MS, self._adopt)
 
+    def _fleet(self, told: config.Fleet, state: Path) -> None:
+        """Take part in the fleet. Agreement is on no message's path: what fails here leaves service alone."""
+        try:
+            from ashvale.fleet.node import Node
+        except ImportError as error:
+            log.error("takes no part in the fleet", extra={"why": f"not installed: {error.name}"})
+            return
+        self.fleet = Node(self.loop, told, state)
+
     def _operator(self, where: tuple[str, int], state: Path) -> None:
         """The operator's door, and the bans that it keeps in the state folder for every process."""
         from ashvale.net.operator import BANS_MS, Bans, Door
@@ -238,6 +251,7 @@
         fronts = [self.server.listener] if self.server else []
         fronts += [self.operator.listener] if self.operator else []
         fronts += self.mail.listeners if self.mail else []
+        fronts += [self.fleet.listener] if self.fleet else []
         return {f"listen_{front.name}": f"{front.address[0]}:{front.address[1]}" for front in fronts}
 
     def leave(self) -> None:
@@ -259,6 +273,8 @@
         self.exchange.halt()
         if self.tracer is not None and self.tracer.store is not None:
             self.tracer.store.close()
+        if self.fleet is not None:
+            self.fleet.close()
         for task in self.tasks:
             task.cancel()
         for listener in ((self.server.listener,) if self.server else ()) + tuple(
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -413,7 +413,7 @@
                 self.looks.setdefault(body.name, set()).add(sender)
                 self._fx.sends.append((body.name, Ping()))
         elif isinstance(body, Saw):
-            self.members.heard(body.view, now)
+            self.members.heard(body.view, now, directly=False)
         elif isinstance(body, Propose):
             self._proposed_by(sender, body, now)
         elif isinstance(body, Proposed):
--- a/ashvale/fleet/members.py
+++ b/ashvale/fleet/members.py
@@ -124,12 +124,12 @@
             if member.status is Status.SUSPECT and now - member.since >= self.rhythm.suspect:
                 v = member.view
                 self._set(member, View(v.name, v.incarnation, v.beat, Status.OUT), now, self.name)
-        if now >= self.next and self.members:
+        if now >= self.next:  # one who is alone keeps its rhythm too
             self.next = now + self.rhythm.every * self.random.uniform(0.9, 1.1)
             if not self._turn:
                 self._turn = sorted(self.members)
                 self.random.shuffle(self._turn)
-            name = self._turn.pop()
+            name = self._turn.pop() if self._turn else ""
             if name in self.members and name not in self._open:
                 self._open[name] = now + self.rhythm.patience, False
                 asks.append(name)
@@ -142,11 +142,11 @@
                     if m.status is Status.SUSPECT), default=1e18)
         return min(self.next, opens, ends)
 
-    def heard(self, view: View, now: float) -> None:
-        """Somebody spoke for itself."""
+    def heard(self, view: View, now: float, directly: bool = True) -> None:
+        """Somebody spoke for itself, to this courier or to one that looked for it."""
         self._open.pop(view.name, None)
         if (member := self.members.get(view.name)) is not None:
-            member.heard = now
+            member.heard = now if directly else member.heard
             if (view.incarnation, view.beat) >= (member.view.incarnation, member.view.beat):
                 # Its own word at the same beat goes over a suspicion that came before.
                 self._set(member, view, now, view.name)
--- /dev/null
+++ b/ashvale/fleet/node.py
@@ -0,0 +1,383 @@
+"""The driver of one courier's part in the fleet: peers over plain HTTP, the disk beside the loop, the log.
+
+It owns the peers' listener, one sending task for each peer, and the order of save, send and tell. It must
+never hold the loop or one peer up for another, never send what rests on a save that has not ended, and never
+take part with a folder that failed: the courier delivers on without it.
+
+`POST /fleet/1/FLEET` carries xxh64 of the body, seeded by the fleet's name, and an envelope in MessagePack;
+the answer is 204, and what is to be said comes back as a call of its own. `GET /fleet/1/FLEET/status` and
+`/log` tell what this courier knows; `POST /fleet/1/FLEET/put` has a key decided. All only for addresses of
+peers and for the loopback.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING, Any, Optional
+
+import h11
+import msgspec
+import xxhash
+
+from ashvale.fleet.agent import Agent, Effects, Envelope, Setup
+from ashvale.fleet.members import Rhythm, Status
+from ashvale.fleet.record import Role, Timing
+from ashvale.fleet.state import Command, Put, Result
+from ashvale.fleet.store import Spoilt, Store
+from ashvale.loop import Broken, Connection, Coroutine, Expired, Listener, Loop, Signal, Task, Timer, lasting
+from ashvale.net.aside import aside
+from ashvale.net.platform import Channel
+
+if TYPE_CHECKING:
+    from ashvale.config import Fleet
+
+VERSION = 1
+BODY_MOST = 1024 * 1024     # bytes of one message
+CALL_MS = 1500.0            # one call between peers may take so long
+CALLERS_MOST = 64
+WAITING_MOST = 64           # messages that wait for one peer; the oldest go, as the newest say more
+INPUTS_MOST = 1024          # what waits while a save is under way
+LOCK_MS = 500.0             # how often a folder is asked for that the process before an upgrade still has
+LOG_MOST = 200              # entries in one answer
+_REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+            409: "Conflict", 413: "Too Large", 503: "Service Unavailable"}
+_encode = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(Envelope)
+log = logging.getLogger(__name__)
+
+
+def pack(fleet: str, envelope: Envelope) -> bytes:
+    body = bytes(_encode(envelope))
+    return xxhash.xxh64_digest(body, _seed(fleet)) + body
+
+
+def unpack(fleet: str, data: bytes) -> Envelope:
+    """Raises `ValueError` on what is no message of this fleet."""
+    if len(data) < 8 or xxhash.xxh64_digest(data[8:], _seed(fleet)) != data[:8]:
+        raise ValueError("checksum")
+    try:
+        return _decoder.decode(data[8:])
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from None
+
+
+def _seed(fleet: str) -> int:
+    return xxhash.xxh32_intdigest(fleet.encode())
+
+
+class Peer:
+    """Messages on their way to one peer, one call at a time."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int], target: str) -> None:
+        self.loop, self.target = loop, target
+        self.channel = Channel(loop, address)
+        self.waiting: deque[bytes] = deque(maxlen=WAITING_MOST)
+        self.more = Signal()
+        self.refused = 0
+        self.said = ""
+
+    def add(self, data: bytes) -> None:
+        self.waiting.append(data)
+        self.more.fire()
+
+    def run(self) -> Coroutine[None]:
+        while True:
+            while not self.waiting:
+                yield self.more, float("inf")
+            data = self.waiting.popleft()
+            try:
+                status, body = yield from self.channel.ask(
+                    "POST", self.target, data, self.loop.now() + CALL_MS)
+            except (Broken, Expired):
+                continue  # who needs it asks again
+            if status != 204:
+                self.refused += 1
+                if (said := f"{status} {body[:200].decode('utf-8', 'replace')}") != self.said:
+                    log.error("peer refuses", extra={"peer": self.channel.address, "why": said})
+                self.said = said if status != 204 else ""
+
+
+class Node:
+    """One courier's part in the fleet, on a loop."""
+
+    def __init__(self, loop: Loop, told: Fleet, state: Path, random: Optional[Random] = None) -> None:
+        self.loop, self.told = loop, told
+        self.folder = state / "fleet"
+        self.random = random or Random(os.urandom(16))
+        self.life = os.urandom(8).hex()
+        self.setup = Setup(
+            told.name, told.courier, tuple(p.name for p in told.peers if p.name != told.courier),
+            tuple(p.name for p in told.peers if p.votes),
+            Timing(told.election_ms, told.beat_ms, told.drift),
+            Rhythm(told.every_ms, 0.8 * told.every_ms, told.suspect_ms), told.follow_ms)
+        self.store: Optional[Store] = None
+        self.agent: Optional[Agent] = None
+        self.why = "not begun"       # why it takes no part
+        self._inputs: deque[Callable[[Agent], Effects]] = deque()
+        self._saving = False
+        self._timer: Optional[Timer] = None
+        self._answers: dict[str, Callable[[Result], None]] = {}
+        self._numbers = 0
+        target = f"/fleet/{VERSION}/{told.name}"
+        self.peers = {p.name: Peer(loop, p.address, target) for p in told.peers if p.name != told.courier}
+        self._trusted = {p.address[0] for p in told.peers} | {"127.0.0.1", "::1"}
+        self.listener = Listener(loop, told.listen, self._serve, CALLERS_MOST, "fleet")
+        self.tasks: list[Task] = [loop.spawn(lasting(loop, peer.run, "fleet peer"), "fleet peer")
+                                  for peer in self.peers.values()]
+        self._begin()
+
+    def _begin(self) -> None:
+        """Take the folder, and take part; a folder that another process has is asked for again."""
+        if self.listener.closed:
+            return
+        try:
+            self.store = Store(self.folder, self.told.name, self.told.courier)
+        except BlockingIOError as error:  # an upgrade: the process before this one still takes part
+            self.why = str(error)
+            self.loop.call_at(self.loop.now() + LOCK_MS, self._begin)
+            return
+        except (Spoilt, OSError) as error:
+            self.why = str(error)
+            log.error("takes no part in the fleet", extra={"why": self.why})
+            return
+        self.agent = Agent(self.setup, self.store.saved, self.store.kept, self.life, self.random,
+                           self.loop.now())
+        self.why = ""
+        log.info("takes part in the fleet", extra={
+            "fleet": self.told.name, "courier": self.told.courier,
+            "incarnation": self.agent.kept.incarnation, "voters": ",".join(self.agent.record.voters)})
+        self._input(lambda agent: agent.tick(self.loop.now()))
+
+    # Save, send, tell
+
+    def _input(self, step: Callable[[Agent], Effects]) -> bool:
+        if self.agent is None or self.why or len(self._inputs) >= INPUTS_MOST:
+            return False
+        self._inputs.append(step)
+        self._pump()
+        return True
+
+    def _pump(self) -> None:
+        while self._inputs and not self._saving and self.agent is not None and not self.why:
+            agent, store = self.agent, self.store
+            assert store is not None
+            fx = self._inputs.popleft()(agent)
+            if not fx.saves:
+                self._carry_out(agent, fx)
+                continue
+            self._save(agent, store, fx)
+        self._arm()
+
+    def _save(self, agent: Agent, store: Store, fx: Effects) -> None:
+        """Write beside the loop, so that a slow disk holds no message up; then go on."""
+        data, whole = store.plan(agent, fx)
+        self._saving = True
+
+        def saved(outcome: None | Exception) -> None:
+            self._saving = False
+            if self.listener.closed:
+                store.close()
+            elif isinstance(outcome, Exception):
+                self.why = f"not saved: {outcome}"
+                log.error("takes no part in the fleet any more", extra={"why": self.why})
+            else:
+                self._carry_out(agent, fx)
+                self._pump()
+
+        aside(self.loop, lambda: store.write(data, whole), saved)
+
+    def _carry_out(self, agent: Agent, fx: Effects) -> None:
+        for event, fields in fx.changes:
+            log.info(event, extra=fields)
+        for name, body in fx.sends:
+            if (peer := self.peers.get(name)) is not None:
+                peer.add(pack(self.told.name, agent.envelope(name, body)))
+        for id, result in fx.results:
+            if (answer := self._answers.pop(id, None)) is not None:
+                answer(result)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self.agent is not None and not self._saving and not self.why and (due := self.agent.due) < 1e17:
+            self._timer = self.loop.call_at(max(due, self.loop.now() + 1.0), lambda: self._input(
+                lambda agent: agent.tick(self.loop.now())))
+
+    # What a courier asks
+
+    def request(self, command: Command, answer: Callable[[Result], None]) -> None:
+        """Have a command decided; `answer` is called once, in time, whatever comes."""
+        self._answers[command.id] = answer
+        if not self._input(lambda agent: agent.request(command, self.loop.now())):
+            self._answers.pop(command.id)(Result(False, 0, self.why or "too much under way"))
+
+    def holds(self, lease: str) -> int:
+        """The number of a lease that may be used right now, or 0."""
+        return self.agent.holds(lease, self.loop.now()) if self.agent is not None and not self.why else 0
+
+    def id(self) -> str:
+        self._numbers += 1
+        return f"{self.told.courier}-{self.life}-{self._numbers}"
+
+    def status(self) -> dict[str, Any]:
+        """All that this courier knows, for `ashvale fleet status`."""
+        agent, now = self.agent, self.loop.now()
+        told: dict[str, Any] = {"fleet": self.told.name, "courier": self.told.courier, "life": self.life,
+                                "part": not self.why, "why": self.why}
+        if agent is None:
+            return told
+        record = agent.record
+        told |= {
+            "incarnation": agent.kept.incarnation, "lost": agent.kept.lost, "why": self.why or agent.stopped,
+            "leader": record.leader, "role": record.role.value, "term": record.term, "commit": record.commit,
+            "last": record.last, "applied": agent.state.applied, "voters": list(record.voters),
+            "votes": agent.kept.lost is False and record.may_vote,
+            "majority": record.leads_until(now) > now if record.role is Role.LEADER else bool(record.leader),
+            "members": [{"name": self.told.courier, "status": Status(agent.members.own.status).name.lower(),
+                         "incarnation": agent.kept.incarnation, "since_ms": 0}, *(
+                {"name": name, "status": m.status.name.lower(), "incarnation": m.view.incarnation,
+                 "since_ms": round(now - m.since)} for name, m in sorted(agent.members.members.items()))],
+            "leases": {name: {"holder": lease.holder, "number": lease.number, "ttl_ms": lease.ttl}
+                       for name, lease in sorted(agent.state.leases.items())},
+            "keys": {key: {"data": value.data, "index": value.index}
+                     for key, value in sorted(agent.state.keys.items())[:LOG_MOST]}}
+        return told
+
+    def entries(self) -> list[dict[str, Any]]:
+        """The latest decided entries."""
+        if self.agent is None:
+            return []
+        record = self.agent.record
+        decided = [e for e in record.log if e.index <= record.commit][-LOG_MOST:]
+        return [{"index": e.index, "term": e.term, "kind": e.kind,
+                 "data": e.data.decode("utf-8", "replace")} for e in decided]
+
+    # The peers' door
+
+    def _serve(self, connection: Connection) -> Coroutine[None]:
+        try:
+            host = connection.sock.getpeername()[0]
+        except OSError:
+            return
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        while True:
+            status, body = 400, b""
+            try:
+                found = yield from self._request(connection, http)
+                if found is None:
+                    return
+                method, path, data = found
+                status, body = self._answer(host, method, path, data)
+                if body is None:
+                    status, body = yield from self._decided(data)
+            except h11.RemoteProtocolError as error:
+                status, body = error.error_status_hint, b""
+            except _TooLarge:
+                status = 413
+            head = h11.Response(status_code=status, reason=_REASONS.get(status, "No"), headers=[
+                ("Content-Length", str(len(body)))] + ([("Connection", "close")] if status >= 400 else []))
+            out = (http.send(head) or b"") + (http.send(h11.Data(data=body)) or b"" if body else b"")
+            out += http.send(h11.EndOfMessage()) or b""
+            yield from connection.send(out, self.loop.now() + CALL_MS)
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    def _request(self, connection: Connection,
+                 http: h11.Connection) -> Coroutine[Optional[tuple[str, str, bytes]]]:
+        """One request, whole and bounded; None at the end. A peer may rest between two."""
+        head: Optional[h11.Request] = None
+        body, until = bytearray(), self.loop.now() + 30_000.0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                if head is None:
+                    self.listener.rest(connection, True)
+                try:
+                    data = yield from connection.receive(until)
+                finally:
+                    self.listener.wake(connection)
+                if head is None:
+                    until = self.loop.now() + CALL_MS
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY_MOST:
+                    raise _TooLarge
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return head.method.decode(), head.target.decode("latin-1"), bytes(body)
+            else:
+                return None
+
+    def _answer(self, host: str, method: str, path: str, data: bytes) -> tuple[int, Any]:
+        """Status and body; None for a body that is yet to be decided."""
+        if host not in self._trusted:
+            return 403, b"not an address of this fleet"
+        words = path.split("/")
+        if len(words) < 4 or words[1] != "fleet":
+            return 404, b"no such path"
+        if words[2] != str(VERSION):
+            return 409, f"version {VERSION} is spoken here".encode()
+        if words[3] != self.told.name:
+            return 409, f"this is fleet {self.told.name}".encode()
+        what = "/".join(words[4:])
+        if method == "GET" and what in ("status", "log"):
+            return 200, msgspec.json.encode(self.status() if what == "status" else self.entries())
+        if method == "POST" and what == "put":
+            return 200, None
+        if method != "POST" or what:
+            return 404, b"no such call"
+        try:
+            envelope = unpack(self.told.name, data)
+        except ValueError as error:
+            log.warning("message not understood", extra={"from": host, "why": str(error)[:200]})
+            return 400, str(error)[:200].encode()
+        if envelope.sender not in self.peers:
+            return 403, f"no peer is called {envelope.sender}".encode()[:200]
+        if not self._input(lambda agent: agent.receive(envelope, self.loop.now())):
+            return 503, (self.why or "too much under way").encode()[:500]
+        return 204, b""
+
+    def _decided(self, data: bytes) -> Coroutine[tuple[int, bytes]]:
+        try:
+            wanted = msgspec.json.decode(data, type=dict[str, str])
+            command = Put(self.id(), wanted["key"], wanted["data"], int(wanted.get("expect", "-1")),
+                          wanted.get("who", ""))
+        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+            return 400, str(error)[:200].encode()
+        found: list[Result] = []
+        done = Signal()
+
+        def answer(result: Result) -> None:
+            found.append(result)
+            done.fire()
+
+        self.request(command, answer)
+        while not found:
+            yield done, float("inf")
+        return (200 if found[0].ok else 409), msgspec.json.encode(found[0])
+
+    def close(self) -> None:
+        """End without a word, as a kill would."""
+        self.why = self.why or "ended"
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self.tasks:
+            task.cancel()
+        self.listener.close()
+        for connection in list(self.listener.open):
+            connection.close()
+        if self.store is not None and not self._saving:
+            self.store.close()
+
+
+class _TooLarge(Exception):
+    pass
--- a/ashvale/lab/fleet.py
+++ b/ashvale/lab/fleet.py
@@ -245,6 +245,7 @@
                 host.disk = Disk()
             elif kind == "old copy":
                 host.disk = host.old.copy()
+                host.disk.kept.lost = True  # as the store sees that the file is a copy
             self.later(span, lambda: host.start() if host.agent is None else None)
         elif kind == "stop":
             host.stop()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
 from typing import Any
 
 import pytest
 
+from ashvale import config
 from ashvale.fleet import agent as agents
 from ashvale.fleet.agent import Agent, Envelope, Kept, Setup, Stale
 from ashvale.fleet.members import Members, Rhythm, Status, View
 from ashvale.fleet.record import Append, Entry, Out, Record, Refused, Saved, Snapshot, Timing, Vote
 from ashvale.fleet.state import Acquire, Put, Release, State, Unknown, encode
+from ashvale.fleet.store import HARD, Spoilt, Store, frame
 from ashvale.lab.fleet import World, play
+from tests.stage import scene
 
 
 @pytest.mark.parametrize(("voters", "followers", "seeds"), [(3, 0, 60), (5, 0, 25), (3, 5, 12)])
@@ -201,3 +207,123 @@
     assert peer == "b" and isinstance(body, Stale)
     one.receive(Envelope("c", 1, "life 4", False, (), Stale(1, "other", 50.0)), 30.0)
     assert one.aside_until and not one.record.may_vote and not one.tick(40.0).sends
+
+
+# The folder
+
+
+def filled(folder: Path) -> bytes:
+    """A folder with two steps of work in it; its file's bytes."""
+    store = Store(folder, "f", "a")
+    setup = Setup("f", "a", (), ("a",))
+    one = Agent(setup, store.saved, store.kept, "life", Random(1), 0.0)
+    while one.record.role.value != "leader":
+        store.write(*store.plan(one, one.tick(one.due)))
+    store.write(*store.plan(one, one.request(Put("1", "k", "v"), one.due)))
+    assert one.state.keys["k"].data == "v"
+    store.close()
+    return (folder / "record").read_bytes()
+
+
+def test_a_folder_cut_at_any_byte_holds_what_was_whole_and_goes_on(tmp_path: Path) -> None:
+    whole = filled(tmp_path)
+    terms, lasts = set[int](), set[int]()
+    for cut in range(len(whole) + 1):
+        (tmp_path / "record").write_bytes(whole[:cut])
+        store = Store(tmp_path, "f", "a")
+        terms.add(store.saved.term)
+        lasts.add(store.saved.entries[-1].index if store.saved.entries else 0)
+        store.write(frame(HARD, (9, "b")), False)
+        store.close()
+        again = Store(tmp_path, "f", "a")
+        assert (again.saved.term, again.saved.vote) == (9, "b")
+        again.close()
+    assert terms == {0, 1} and lasts == {0, 1, 2}
+
+
+def test_a_folder_spoilt_foreign_newer_or_copied_is_refused_or_known_for_it(tmp_path: Path) -> None:
+    whole = filled(tmp_path)
+    path = tmp_path / "record"
+    refused = 0
+    for at in range(0, len(whole) - 40, 7):
+        spoilt = bytearray(whole)
+        spoilt[at] ^= 1
+        path.write_bytes(bytes(spoilt))
+        try:
+            store = Store(tmp_path, "f", "a")
+        except Spoilt as error:
+            assert "record" in str(error)
+            refused += 1
+            assert path.read_bytes() == bytes(spoilt)  # nothing is written over it
+        else:
+            store.close()
+    assert refused > 10
+    path.write_bytes(whole)
+    for fleet, name in (("g", "a"), ("f", "b")):
+        with pytest.raises(Spoilt, match="name the right folder"):
+            Store(tmp_path, fleet, name)
+    path.write_bytes(frame(1, (9, "f", "a", "")))
+    with pytest.raises(Spoilt, match="newer version"):
+        Store(tmp_path, "f", "a")
+    path.unlink()
+    copy = tmp_path / "copy"
+    copy.write_bytes(whole)
+    copy.rename(path)
+    store = Store(tmp_path, "f", "a")
+    assert store.copied and store.kept.lost and store.saved.entries
+    with pytest.raises(BlockingIOError):
+        Store(tmp_path, "f", "a")  # another process, as far as it can tell
+    store.close()
+    store = Store(tmp_path, "f", "a")
+    assert not store.copied and store.kept.lost  # until the fleet has taken it in again
+    store.close()
+
+
+def test_a_sync_that_failed_is_not_tried_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    filled(tmp_path)
+    store = Store(tmp_path, "f", "a")
+    with monkeypatch.context() as patch:
+        patch.setattr("ashvale.fleet.store.os.fsync", lambda _file: (_ for _ in ()).throw(OSError(5, "lost")))
+        with pytest.raises(OSError, match="lost"):
+            store.write(frame(HARD, (7, "")), False)
+    with pytest.raises(OSError, match="lost"):
+        store.write(frame(HARD, (8, "")), False)
+    store.close()
+
+
+# The file
+
+PEERS = "".join(f'[[fleet.peer]]\nname = "{n}"\naddress = "127.0.0.1:70{i}"\nvotes = true\n'
+                for i, n in enumerate(("n0", "b", "c"), 10))
+HEAD = '[fleet]\nname = "west"\n'
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    (HEAD + PEERS.replace('"c"', '"b"'), "peer 3: key 'name'"),
+    (HEAD + PEERS.replace("7012", "7011"), "peer 3: key 'address' is that of 'b'"),
+    (HEAD + PEERS.replace("votes = true", "votes = false"), "no majority is possible"),
+    (HEAD + PEERS.replace('"n0"', '"d"'), "key 'courier' is 'n0', which no peer is called"),
+    (HEAD + 'listen = "127.0.0.1:4321"\n' + PEERS, "key 'listen' is the address of listen already"),
+    (HEAD + 'election = "300 ms"\n' + PEERS, "key 'election' is below 3 times 'beat'"),
+    (HEAD + 'suspect = "600 ms"\n' + PEERS, "key 'suspect' is below 2 times 'every'"),
+    (HEAD + 'drift = "50 %"\n' + PEERS, "key 'drift' is above"),
+    (HEAD + 'quorum = 2\n' + PEERS, "unknown key 'quorum'"),
+    (HEAD + PEERS.replace("127.0.0.1:7012", "nowhere"), "peer 3: key 'address'"),
+    (PEERS, "key 'name' is missing"),
+])
+def test_a_fleet_that_contradicts_itself_is_refused_by_name(tmp_path: Path, text: str, told: str) -> None:
+    with scene() as s:
+        file = tmp_path / "own.toml"
+        file.write_text(text)
+        s.environ = {"ASHVALE_SETTINGS": str(file), "LB_LISTEN": "127.0.0.1:4321"}
+        s.endpoint()
+        with pytest.raises(config.ConfigError) as error:
+            s.start()
+        assert told in str(error.value) and "fleet" in str(error.value)
+
+
+def test_without_a_fleet_nothing_of_it_is_loaded() -> None:
+    code = ("import sys, ashvale.__main__, ashvale.courier\n"
+            "print([m for m in sys.modules if 'fleet' in m or m in ('msgspec', 'xxhash')])")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True,
+                          check=True).stdout == "[]\n"
