--- a/ashvale/cli/lab.py
+++ b/ashvale/cli/lab.py
@@ -84,3 +84,21 @@
         click.echo(f"{kind}: {runs} runs, {bad} with a rule broken")
         failed += bad
     sys.exit(1 if failed else 0)
+
+
+@lab.command()
+@click.option("--seeds", default="0:100", help="From:to, the last left out.")
+@click.option("--voters", default=3, type=click.IntRange(1, 7))
+@click.option("--followers", default=0, type=click.IntRange(0, 500))
+def agree(seeds: str, voters: int, followers: int) -> None:
+    """Play fleets that agree, with kills, stalls, cuts and lost folders drawn from each seed."""
+    from ashvale.lab.fleet import play as play_fleet
+    first, _, last = seeds.partition(":")
+    numbers, broken = range(int(first), int(last or int(first) + 1)), 0
+    with click.progressbar(numbers, label="seeds", file=sys.stderr) as bar:
+        for seed in bar:
+            if found := play_fleet(seed, voters, followers).broken:
+                broken += 1
+                click.echo(f"seed {seed}: {found[0]}")
+    click.echo(f"{len(numbers)} fleets of {voters + followers}, {broken} broke a rule")
+    sys.exit(1 if broken else 0)
