Tell the fleet when a courier leaves, and wait for address and folder in an upgrade

Need: a courier that ended by SIGTERM counted as `out` like a dead one, since nobody called Members.leaving; and in an upgrade the new process would have failed at bind on the fleet's address (Listener in Node.__init__). Not taken: SO_REUSEPORT there, by which half of the peers' calls would reach the process that takes no part. The test with five processes plays both, and fails without either.

--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -251,7 +251,7 @@
         fronts = [self.server.listener] if self.server else []
         fronts += [self.operator.listener] if self.operator else []
         fronts += self.mail.listeners if self.mail else []
-        fronts += [self.fleet.listener] if self.fleet else []
+        fronts += [self.fleet.listener] if self.fleet and self.fleet.listener else []
         return {f"listen_{front.name}": f"{front.address[0]}:{front.address[1]}" for front in fronts}
 
     def leave(self) -> None:
@@ -260,6 +260,8 @@
             return
         self.leaving, now = True, self.loop.now()
         log.info("leaving")
+        if self.fleet is not None:
+            self.fleet.leave()
         # Guards what waits against a process that is about to end: the one beside it takes it over at once.
         self._succeeded = self.exchange.journal.succeeded
         self.exchange.close_at(now + (HANDOVER_MS if self._succeeded else LAST_SEND_MS))
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -44,6 +44,7 @@
 OPEN_MOST = 256          # requests of this courier under way, and of others at a leader
 AGAIN_MS = 500.0         # a request goes to the leader again after so long
 GIVE_UP_MS = 5000.0      # and its outcome counts as unknown after so long
+TOLD_MOST = 5            # others whom one that leaves tells; they pass it on
 READMIT = "readmit/"     # keys: the incarnation of a voter that lost its folder and may be taken in again
 
 
@@ -291,6 +292,13 @@
             self._requests(now)
         return self._done(now)
 
+    def leave(self, now: float) -> Effects:
+        """This process is about to end by its own will: `gone`, where silence would make it `out`."""
+        self.members.leaving()
+        others = [n for n, m in self.members.members.items() if m.status <= Status.SUSPECT]
+        self._fx.sends += [(n, Ping()) for n in self.random.sample(others, min(TOLD_MOST, len(others)))]
+        return self._done(now)
+
     def change(self, voters: tuple[str, ...], now: float) -> Effects:
         """Other voters, at the leader. Raises `Refused`."""
         _, out = self.record.change(voters, now)
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -126,24 +126,36 @@
         target = f"/fleet/{VERSION}/{told.name}"
         self.peers = {p.name: Peer(loop, p.address, target) for p in told.peers if p.name != told.courier}
         self._trusted = {p.address[0] for p in told.peers} | {"127.0.0.1", "::1"}
-        self.listener = Listener(loop, told.listen, self._serve, CALLERS_MOST, "fleet")
+        self.listener: Optional[Listener] = None
+        self.ended = False
         self.tasks: list[Task] = [loop.spawn(lasting(loop, peer.run, "fleet peer"), "fleet peer")
                                   for peer in self.peers.values()]
         self._begin()
 
     def _begin(self) -> None:
-        """Take the folder, and take part; a folder that another process has is asked for again."""
-        if self.listener.closed:
+        """Take the address and the folder, and take part.
+
+        What another process still has is asked for again: guards an upgrade, in which the process before this
+        one takes part to its end.
+        """
+        if self.ended:
             return
         try:
-            self.store = Store(self.folder, self.told.name, self.told.courier)
-        except BlockingIOError as error:  # an upgrade: the process before this one still takes part
+            self.store = self.store or Store(self.folder, self.told.name, self.told.courier)
+        except BlockingIOError as error:
             self.why = str(error)
             self.loop.call_at(self.loop.now() + LOCK_MS, self._begin)
             return
         except (Spoilt, OSError) as error:
             self.why = str(error)
             log.error("takes no part in the fleet", extra={"why": self.why})
+        try:
+            self.listener = Listener(self.loop, self.told.listen, self._serve, CALLERS_MOST, "fleet")
+        except OSError as error:
+            log.error("no place for peers to call", extra={"why": str(error)})
+            self.loop.call_at(self.loop.now() + LOCK_MS, self._begin)
+            return
+        if self.store is None:  # it tells whoever asks why it takes no part
             return
         self.agent = Agent(self.setup, self.store.saved, self.store.kept, self.life, self.random,
                            self.loop.now())
@@ -180,7 +192,7 @@
 
         def saved(outcome: None | Exception) -> None:
             self._saving = False
-            if self.listener.closed:
+            if self.ended:
                 store.close()
             elif isinstance(outcome, Exception):
                 self.why = f"not saved: {outcome}"
@@ -292,6 +304,7 @@
     def _request(self, connection: Connection,
                  http: h11.Connection) -> Coroutine[Optional[tuple[str, str, bytes]]]:
         """One request, whole and bounded; None at the end. A peer may rest between two."""
+        assert self.listener is not None
         head: Optional[h11.Request] = None
         body, until = bytearray(), self.loop.now() + 30_000.0
         while True:
@@ -365,16 +378,21 @@
             yield done, float("inf")
         return (200 if found[0].ok else 409), msgspec.json.encode(found[0])
 
+    def leave(self) -> None:
+        """Tell others that this courier goes by its own will."""
+        self._input(lambda agent: agent.leave(self.loop.now()))
+
     def close(self) -> None:
         """End without a word, as a kill would."""
-        self.why = self.why or "ended"
+        self.why, self.ended = self.why or "ended", True
         if self._timer is not None:
             self._timer.cancel()
         for task in self.tasks:
             task.cancel()
-        self.listener.close()
-        for connection in list(self.listener.open):
-            connection.close()
+        if self.listener is not None:
+            self.listener.close()
+            for connection in list(self.listener.open):
+                connection.close()
         if self.store is not None and not self._saving:
             self.store.close()
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -220,6 +220,10 @@
         with socket.create_connection((HERE, f.ports["c0"])) as stranger:
             stranger.sendall(large + b"x" * 100_000)  # and never the rest
             leader = f.leader()
+            f.programs["c3"].process.send_signal(signal.SIGTERM)
+            f.until(lambda: "gone" in {m["status"] for m in f.status(leader)["members"] if m["name"] == "c3"})
+            f.start("c3")  # beside the one that leaves: it takes part once that has ended
+            f.until(lambda: {m["status"] for m in f.status(leader)["members"]} == {"serving"})
             gone = ["c3", next(name for name in f.voters if name != leader)]
             for name in gone:
                 f.programs[name].end(signal.SIGKILL)
