--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: build test lint run rehearse clean
+.PHONY: build test lint run rehearse demo clean
 
 build: .venv/built
 
@@ -25,5 +25,9 @@
 rehearse: build
 	$(BIN)/python -m ashvale.rehearsal
 
+# A newcomer's first minute: three real couriers that agree, with faults, a verdict and a report.
+demo: build
+	$(BIN)/ashvale lab fleet --report demo-report.json
+
 clean:
 	rm -rf .venv .mypy_cache .pytest_cache .ruff_cache *.egg-info
--- a/ashvale/cli/lab.py
+++ b/ashvale/cli/lab.py
@@ -102,3 +102,68 @@
                 click.echo(f"seed {seed}: {found[0]}")
     click.echo(f"{len(numbers)} fleets of {voters + followers}, {broken} broke a rule")
     sys.exit(1 if broken else 0)
+
+
+@lab.command()
+@click.option("--report", type=click.Path(dir_okay=False), help="A file for what happened, as JSON.")
+def fleet(report: str | None) -> None:
+    """Three real couriers that agree: one partner stalls, one courier is cut off, the leader is killed."""
+    import json
+    import tempfile
+    import time
+    from pathlib import Path
+
+    from ashvale.lab.relay import SILENT
+    from ashvale.lab.rig import Rig
+    from ashvale.lab.stands import STALL
+    began, events = time.monotonic(), list[dict[str, object]]()
+
+    def tell(what: str) -> None:
+        events.append({"at_s": round(time.monotonic() - began, 1), "event": what})
+        click.echo(f"{events[-1]['at_s']:>6} s  {what}")
+
+    with tempfile.TemporaryDirectory() as folder:
+        tell("three couriers, a partner and discovery start on the loopback")
+        rig = Rig(Path(folder), 3, 3)
+        try:
+            leader = rig.leader()
+            tell(f"they have agreed that {leader} leads")
+            rig.decide(leader, "demo", "before")
+            ids = [rig.hand_in(rig.names[number % 3]) for number in range(30)]
+            rig.until(lambda: all(rig.delivered(id) for id in ids), "delivery")
+            tell("30 messages handed in and delivered")
+            rig.endpoint.script += [STALL] * 3
+            ids = [rig.hand_in(rig.names[number % 3]) for number in range(15)]
+            tell("the partner stalls: three calls are never answered")
+            rig.cut_off(leader, SILENT)
+            others = [name for name in rig.names if name != leader]
+            tell(f"{leader} is cut off from the others, and falls silent to them")
+            second = rig.leader(others)
+            rig.decide(second, "demo", "while cut off")
+            tell(f"{second} leads now; the two decide without {leader}")
+            _, told = rig.put(leader, "demo", "alone")
+            tell(f"asked for a decision, {leader} says: {told['why']}")
+            rig.deliver(leader)
+            tell(f"and {leader} goes on delivering")
+            rig.heal()
+            rig.until(lambda: rig.all_hold("demo", "while cut off"), "one view")
+            tell(f"healed: {leader} has learned what was decided")
+            last = rig.leader()
+            rig.kill(last)
+            rig.decide(next(name for name in rig.names if name != last), "demo", "after")
+            tell(f"{last} is killed; the others have decided once more")
+            rig.start(last)
+            rig.until(lambda: rig.all_hold("demo", "after"), "one view")
+            rig.until(lambda: all(rig.delivered(id) for id in ids), "delivery")
+            tell(f"{last} is back on its folder; every message has arrived")
+            broken = rig.judge()
+        except AssertionError as error:
+            broken = [str(error)]
+        finally:
+            rig.close()
+    verdict = "all rules kept" if not broken else f"broken: {'; '.join(broken)}"
+    tell(f"verdict: {verdict}; {len(rig.sent)} messages")
+    if report is not None:
+        Path(report).write_text(json.dumps({"verdict": verdict, "events": events}, indent=1))
+        click.echo(f"report: {report}")
+    sys.exit(1 if broken else 0)
