--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Union
@@ -207,7 +206,6 @@
         self.lost_voters: dict[str, int] = {}
         self.looks: dict[str, set[str]] = {}
         self.pull_at = self.hello_at = now
-        self.follows: Callable[[Command, Result], None] = lambda command, result: None
         self._begun = False
         self._was: tuple[object, ...] = ()
         self._fx = Effects(kept=True)
@@ -318,11 +316,6 @@
         held = self.leases.get(lease)
         return held.number if held is not None and now < held.until else 0
 
-    @property
-    def majority(self) -> bool:
-        """Whether this courier knows of a leader, as far as it can tell."""
-        return bool(self.record.leader) and not self.stopped
-
     # Names and incarnations
 
     def _votes(self) -> bool:
@@ -474,7 +467,6 @@
             self._fx.sends.append((peer, Proposed(command.id, result)))
         if command.id in self.requests:
             self._result(command.id, result, now)
-        self.follows(command, result)
 
     # Requests
 
--- a/ashvale/fleet/members.py
+++ b/ashvale/fleet/members.py
@@ -93,11 +93,6 @@
     def leaving(self) -> None:
         self.own = View(self.name, self.own.incarnation, self.own.beat + 1, Status.GONE)
 
-    def follow(self, peers: tuple[str, ...], now: float) -> None:
-        """Other peers from now on."""
-        self.members = {peer: self.members.get(peer) or Member(View(peer, 0, 0, Status.OUT), now)
-                        for peer in peers[:PEERS_MOST]}
-
     def stalled(self, now: float) -> float:
         """How much longer than it should the time since the last tick was: a stall of this very process."""
         gap = now - self.last_tick
