Refuse fleet sizes beyond use by name, and take no rate from a list that is none

Read: `peers_total` 0 divided by nought in Controller._count_forwarders, and `share` of Infinity or NaN, which JSON's reader takes, came to a ring of endless size (int of infinity raises in control.gate). Change: peers_total from 1 to 5,000 and slot_no from 0, refused by name; a listed rate that is negative, no number or over a million a second counts as not told. Told waits were bounded already (wait_ms). Not taken: refusing the whole list for one such line, which would cost the others.

Tests: eleven rows.

--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -180,6 +180,7 @@
              "fleet": {"name", "courier", "listen", "peer", "election", "beat", "drift", "every", "suspect",
                        "follow"}}
 VOTERS_MOST, PEERS_MOST = 7, 512
+COURIERS_MOST = 5000
 
 
 def _quantity(table: Any, key: str, kind: str, default: str, least: float, what: str) -> float:
@@ -437,6 +438,14 @@
     return tuple(map(float, values))
 
 
+def _fleet_size(root: Any) -> int:
+    """How many couriers share the partners' limits; guards against sizes that leave no part of them."""
+    count: int = least(root, "peers_total", int, 1, 1, "settings")
+    if count > COURIERS_MOST:
+        raise ConfigError(f"settings: key 'peers_total' is {count}, at most {COURIERS_MOST} was expected")
+    return count
+
+
 def settings(root: Any) -> api.Settings:
     """Translate the start-up settings; unknown keys are ignored."""
     limits, rules = get(root, "limits", dict), get(root, "contract", dict)
@@ -448,7 +457,8 @@
         for t in get(root, "tenants", list, []))
     return api.Settings(
         classes=classes, kinds=_kinds(root, info), tenants=tenants,
-        forwarders=get(root, "peers_total", int, 1), number=get(root, "slot_no", int, 0),
+        forwarders=_fleet_size(root),
+        number=least(root, "slot_no", int, 0, 0, "settings"),
         slots=get(info, "max_calls", int, 1 << 16), max_open=get(limits, "max_open", int, 1 << 20),
         max_attempts=get(limits, "most_tries", int),
         max_backoff_ms=get(limits, "max_retry_after_ms", float, 0.0),
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -51,6 +51,7 @@
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 BUSY_MS = (20.0, 16000.0)  # where it turns lists away: first, for each courier of the fleet, and longest
 NOTICES_MOST = 400        # lines in one notice
+RATE_MOST = 1e6           # calls a second that a list may say a partner takes
 _ID = re.compile(rb"[!-~]{1,200}\Z")
 _DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
 _TIMEOUT = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])\Z")
@@ -117,7 +118,9 @@
         name=get(data, "host", str, what="host"), dest=str(get(data, "block", int, 0, "host")),
         address=where, kind=get(data, "class", str, "", "host"), zone=get(data, "site", str, "", "host"),
         ready=state == "SERVING", gone=state == "DELETED",
-        rate=get(data, "share", float, 0.0, "host"), born_ms=get(data, "born_ms", float, 0.0, "host"))
+        # Guards pacing against a rate that is none: a negative one, no number, or an endless one.
+        rate=share if 0.0 < (share := get(data, "share", float, 0.0, "host")) <= RATE_MOST else 0.0,
+        born_ms=get(data, "born_ms", float, 0.0, "host"))
 
 
 def decode_hosts(data: Any) -> tuple[int, bool, list[Instance]]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tomllib
 from typing import Any
 
@@ -9,6 +10,8 @@
 
 from ashvale import config
 from ashvale.interface import Effect
+from ashvale.lab.stands import SETTINGS
+from ashvale.net.platform import decode_host
 from ashvale.rehearsal import set_up
 
 
@@ -62,3 +65,20 @@
         config.mail(root((old, new)), "mail.toml")
     text = str(error.value)
     assert told in text and text.startswith("mail.toml") and "\n" not in text
+
+
+@pytest.mark.parametrize(("key", "value"), [
+    ("peers_total", 0), ("peers_total", -3), ("peers_total", 10_000), ("peers_total", "many"),
+    ("slot_no", -1)])
+def test_fleet_sizes_beyond_use_are_refused_by_name(key: str, value: object) -> None:
+    assert config.settings({**SETTINGS, "peers_total": 40}).forwarders == 40
+    with pytest.raises(config.ConfigError, match=f"key '{key}'"):
+        config.settings({**SETTINGS, key: value})
+
+
+@pytest.mark.parametrize(("share", "rate"), [
+    ("12.5", 12.5), ("-1", 0.0), ("0", 0.0), ("1e300", 0.0), ("Infinity", 0.0), ("NaN", 0.0)])
+def test_rates_that_are_none_count_as_not_told(share: str, rate: float) -> None:
+    """Guards pacing: the ring's size is a whole number, and there is none for an endless rate."""
+    line = {"host": "s", "health": "SERVING", "dial": "127.0.0.1:1", "share": json.loads(share)}
+    assert decode_host(line).rate == rate
