Let one piece tell the voters at a place of the log, and drop a loop that did nothing

A last reading found that Record.compact walked the log for its voters as voters_at does, and that Agent._woke set each member's last hearing to the lesser of itself and now, which it is already. Behaviour is unchanged; ruff, mypy and the fleet's tests pass.

--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -388,8 +388,6 @@
         """This process stood still: it learns what happened before it acts. Leases ended by themselves."""
         self._log("stood still", ms=round(late))
         self.leases = {name: held for name, held in self.leases.items() if now < held.until}
-        for member in self.members.members.values():
-            member.heard = min(member.heard, now)
         self.members._open.clear()  # guards others against the suspicion of one who was not there himself
         self.pull_at = now
         self.record.deadline = max(self.record.deadline, now + self.setup.timing.election)
--- a/ashvale/fleet/record.py
+++ b/ashvale/fleet/record.py
@@ -246,10 +246,7 @@
         """Forget entries up to `index`, which have been applied and came to `state`; the caller saves it."""
         assert self.snapshot.index <= index <= self.applied
         term, kept = self.term_at(index), self.log[index - self.snapshot.index:]
-        voters = self.snapshot.voters
-        for entry in self.log[:index - self.snapshot.index]:
-            voters = voters_of(entry.data) if entry.kind == "voters" else voters
-        self.snapshot, self.log = Snapshot(index, term or 0, voters, state), kept
+        self.snapshot, self.log = Snapshot(index, term or 0, voters_at(self, index), state), kept
         return self.snapshot
 
     # Time
