Tell the other process of an upgrade which waits partners told, so both keep them

Partners see one courier; the newcomer began without the 16 s wait that the old process had been told, and the old one never heard what the newcomer was told. Ruled out: the exchange's own table (`_silent`, which is a process's) and SIGTERM's handover, which had not begun. Lines at fault: Courier had nothing that carries a wait over.

Change: ashvale/beside.py keeps told waits in a file of the state folder, bounded, one appended line each; both processes follow it, and `Listing.silent_until` tells the module, which answers at once what cannot wait that long. A new life of one alone begins without it, as a restart ends waits. Also: a ban that is lifted no longer tells the module that an instance is ready which the last whole list left out.

Test with two real processes.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -161,10 +161,12 @@
             endpoint.ready = endpoint.ready and event.how is api.ListKind.DELTA
         for line in event.lines:
             endpoint = self.endpoints.get(line.target) or self._add(line, now)
-            endpoint.ready = line.readiness is api.Readiness.READY
+            endpoint.ready, self.dirty[line.destination] = line.readiness is api.Readiness.READY, None
             if self.s.listed_rates and line.rate > 0 and endpoint.lane.total <= 0:
                 self._told(endpoint.lane, line.rate)
-            self.dirty[line.destination] = None
+            endpoint.lane.blocked_until = max(endpoint.lane.blocked_until, line.silent_until)
+            for m in list(self.dests[line.destination].queue) if line.silent_until > now else ():
+                self._expire(m, now)
         for e in [e for e in self.endpoints.values() if not (e.ready or e.calls)]:
             del self.endpoints[e.target]
             self.dests[e.dest].blocked_until = max(self.dests[e.dest].blocked_until, e.lane.blocked_until)
@@ -455,8 +457,7 @@
             lane.usual = sum(lane.latencies) / len(lane.latencies)
             lane.margin = min(MARGIN_MS[2], max(MARGIN_MS[0], float(int(lane.usual * 1.1))))
             self._came_back(e, now)
-            e.crowds = 0
-            e.ok_sent, e.last_ok = max(e.ok_sent, call.sent), now
+            e.crowds, e.ok_sent, e.last_ok = 0, max(e.ok_sent, call.sent), now
             if event.report.get("x0", 1.0) > LEFT:
                 self._grow(lane, now)
         elif outcome is Outcome.FULL:
@@ -554,6 +555,5 @@
         if e.out_since is not None:
             e.lossy_until = now + LOSSY_MS if now - e.out_since < MISHAP_MS else e.lossy_until
             e.ramp_from = now if now - e.out_since >= MISHAP_MS or failing(e) else e.ramp_from
-            if e.unconnected and now - e.out_since >= 2 * MISHAP_MS:
-                self.crowded.discard(e.kind)
+            self.crowded -= {e.kind} if e.unconnected and now - e.out_since >= 2 * MISHAP_MS else set()
         e.out_since, e.unconnected = None, False
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Optional
 
 from ashvale import config
+from ashvale.beside import Waits
 from ashvale.exchange import Exchange
 from ashvale.journal import Disk, Journal
 from ashvale.loop import Coroutine, Loop, Task, lasting
@@ -56,6 +57,10 @@
             self._mail_carrier(told.mail)
         self._share(told)
         self.log_as: Callable[[config.Config], None] = lambda _told: None
+        # After `_platform`, whose known list names the instances that a wait silences.
+        self.waits = Waits(loop, told.state, journal.waiting, told.platform is not None
+                           and told.platform.operator is not None, self.exchange.hear_wait)
+        self.exchange.tell_wait = self.waits.tell
         self.exchange.resume()
         self._door(told)
         self.operator: Optional[Door] = None
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -13,7 +13,7 @@
 import json
 import logging
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Optional, Protocol
 
@@ -178,6 +178,7 @@
         self._named: dict[str, int] = {}
         self._silent: dict[str, tuple[float, float]] = {}  # told waits, by route: told at, until
         self._left: set[str] = set()  # instances that the last whole list left out
+        self.tell_wait: Callable[[str, float], None] = lambda _route, _until: None  # to who runs beside us
         self.listed = False  # a whole list was told in this life of the process
         self.banned: frozenset[str] = frozenset()  # instances that operators took out of service, a fact
         self.ever: dict[str, None] = {}  # names of instances ever listed, the latest last; bounded
@@ -446,7 +447,8 @@
             _remember(self._served, instance.dest)
             lines.append(api.Listing(
                 instance.name.encode(), self._dest(instance.dest), self._kinds.get(instance.kind, 0),
-                self._zones.get(instance.zone, 0), readiness, instance.rate, instance.born_ms))
+                self._zones.get(instance.zone, 0), readiness, instance.rate, instance.born_ms,
+                self._silent.get(self._route(instance), (0.0, 0.0))[1]))
         if self.doors:
             self._listed()
         self._post(api.ListKnown(how, version, tuple(lines)), at_once=True)
@@ -454,10 +456,21 @@
     def ban(self, names: frozenset[str]) -> None:
         """Operators' bans as they now stand: those whose state changes are told to the module anew."""
         changed, self.banned = names ^ self.banned, names
-        again = [self.instances[name] for name in changed if name in self.instances]
+        again = [instance for instance in self._told_now() if instance.name in changed]
         if again:
             self.instances_known(api.ListKind.DELTA, again)
 
+    def _told_now(self) -> list[Instance]:
+        """The instances that the list names as it stands; the others must not be told anew as if it did."""
+        return [i for i in self.instances.values() if not i.gone and i.name not in self._left]
+
+    def hear_wait(self, route: str, until: float) -> None:
+        """A wait that the other process of this courier was told; to the partners both are one."""
+        if until > max(self.loop.now(), self._silent.get(route, (0.0, 0.0))[1]):
+            self._silent[route] = UNHEARD, until
+            self.instances_known(api.ListKind.DELTA, [
+                i for i in self._told_now() if self._route(i) == route])
+
     def _forget(self, gone: Iterable[str]) -> None:
         """The Controller has heard that they are gone: nothing refers to them but what is out."""
         for name in gone:
@@ -486,6 +499,7 @@
             route = self._route(execution.instance)
             # Guards the wait against what the Controller sends before it hears of it, in the same turn even.
             self._silent[route] = UNHEARD, max(now + wait_ms, self._silent.get(route, (0.0, 0.0))[1])
+            self.tell_wait(route, self._silent[route][1])
         self._judge(execution, outcome, over, wait_ms, now)
         log.debug("execution", extra={
             "id": entry.id, "attempt": attempt, "instance": execution.instance.name, "outcome": outcome.value,
@@ -569,6 +583,9 @@
             if isinstance(event, api.Settled) and event.wait_ms > 0:
                 self._heard(event.target.decode(), now)
             if isinstance(event, api.ListKnown):
+                for line in event.lines:
+                    if line.silent_until > now and line.silent_until >= self.told_wait(line.target.decode()):
+                        self._heard(line.target.decode(), now)
                 self._forget(line.target.decode() for line in event.lines
                              if line.readiness is api.Readiness.GONE)
         for executions in sends.values():
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -143,6 +143,7 @@
     readiness: Readiness = Readiness.READY
     rate: float = 0.0
     added_at: float = 0.0
+    silent_until: float = 0.0  # a wait that another process of this courier was told, to when it runs
 
 
 @dataclass(frozen=True)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -138,6 +138,27 @@
         assert not s.discovery.notices
 
 
+def test_a_wait_that_one_process_of_an_upgrade_was_told_silences_the_other_too() -> None:
+    """Told before the newcomer starts, and while both run; partners see one courier."""
+    with scene() as s:
+        told = [s.endpoint(answer(429, x_come_back_ms="6000"), block=block) for block in (1, 2)]
+        old = Program(s)
+        assert old.ask(request("rate-update", "first", 1)).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: len(told[0].calls) == 1 and (s.folder / "waits").exists())
+        s.environ["LB_OPERATOR"] = f"{HERE}:0"
+        new = Program(s)  # at an address of its own, so that each is asked by name
+        assert new.ask(request("rate-update", "second", 1, timeout="4000m")).startswith(b"HTTP/1.1 202 ")
+        assert new.ask(request("rate-update", "third", 2)).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: "destination 2" in (s.folder / "waits").read_text())
+        old.read_until("destination 2")  # it heard
+        assert old.ask(request("rate-update", "fourth", 2, timeout="4000m")).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: {n["id"] for n in s.discovery.notices} == {"second", "fourth"})  # returned at once
+        assert all(notice["state"] == "returned" for notice in s.discovery.notices)
+        assert [len(endpoint.calls) for endpoint in told] == [1, 1]
+        new.end(signal.SIGKILL)
+        old.end(signal.SIGKILL)
+
+
 def test_what_cannot_be_delivered_before_the_end_stays_in_the_journal() -> None:
     with scene() as s:
         program = Program(s)
