Let the fleet agree who goes out of service: budgets, permits, bans that all keep

Need: three operators, or one script, could send every courier away at once, and nobody counted what was out already. A permit ends by its holder's own word that it serves again (ready, warm), never by time or a restart; a second permit takes a new number, so that a late word of the time before ends nothing. A courier is out as long as the record that it holds says so; coming back needs nobody's leave and is kept in its folder. Bans of endpoints go through the record too, with a least number that stays, and the leader knows who keeps to them. The operator's door asks for a permit where [fleet] is on; off on the platform, where nothing of it loads.

Not taken: a permit as a lease, as one that runs out frees what may still be out; budgets in each courier's file, as files contradict each other.

--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -88,6 +88,7 @@
     name: str
     address: tuple[str, int]
     votes: bool
+    building: str = ""
 
 
 @dataclass(frozen=True)
@@ -227,11 +228,13 @@
     for number, line in enumerate(get(table, "peer", list, what=where), 1):
         at = f"{where}: peer {number}"
         for key in line if isinstance(line, dict) else ():
-            if key not in ("name", "address", "votes"):
+            if key not in ("name", "address", "votes", "building"):
                 raise ConfigError(f"{at}: unknown key '{key}'")
         where_at = address(get(line, "address", str, what=at), "address", at)
         one = Peer(get(line, "name", str, what=at), where_at,
-                   get(line, "votes", bool, False, at))
+                   get(line, "votes", bool, False, at), get(line, "building", str, "", at))
+        if len(one.building) > 60:
+            raise ConfigError(f"{at}: key 'building' is longer than 60 characters")
         if not one.name or len(one.name) > 60 or "/" in one.name or one.name in names:
             raise ConfigError(f"{at}: key 'name' is '{one.name}', a name used once was expected")
         if one.address in addresses:
--- a/ashvale/config/declare.py
+++ b/ashvale/config/declare.py
@@ -207,6 +207,7 @@
     name: Annotated[str, text("Its name, used once")]
     address: Annotated[str, text("Where it takes its peers' calls, as `address:port`")]
     votes: Annotated[bool, text("Whether it votes: best at three, five or seven")] = False
+    building: Annotated[str, text("Where it stands, for budgets that count by building")] = ""
 
 
 class Fleet(msgspec.Struct, forbid_unknown_fields=True):
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -42,6 +42,7 @@
         self.loop, self.told = loop, told
         journal = Journal(told.state, told.journal_bytes, loop.wall(), disk)
         self.exchange = Exchange(loop, told.settings, told.seed, journal)
+        self._banned: dict[str, frozenset[str]] = {}
         self.tracer: Optional[Recorder] = None
         self._trace(told)
         self.leaving = self._reading = self._succeeded = False
@@ -76,18 +77,38 @@
     def _fleet(self, told: config.Fleet, state: Path) -> None:
         """Take part in the fleet. Agreement is on no message's path: what fails here leaves service alone."""
         try:
-            from ashvale.fleet.node import Node
+            from ashvale.fleet.node import Node, Service
         except ImportError as error:
             log.error("takes no part in the fleet", extra={"why": f"not installed: {error.name}"})
             return
-        self.fleet = Node(self.loop, told, state)
+        courier, banned = self, self._ban
+
+        class Here(Service):
+            """What the fleet may do to this courier."""
+
+            def drain(self, on: bool) -> None:
+                if courier.server is not None:
+                    courier.server.drain(on)
+
+            def ban(self, names: frozenset[str]) -> None:
+                banned("fleet", names)
+
+            def ready(self) -> bool:
+                return not courier.leaving and courier.exchange.listed
+
+            def endpoint(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
+                return courier.exchange.beside(name)
+
+        self.fleet = Node(self.loop, told, state, Here())
+        if self.operator is not None:
+            self.operator.agreed = self.fleet.asked_to_drain
 
     def _operator(self, where: tuple[str, int], state: Path) -> None:
         """The operator's door, and the bans that it keeps in the state folder for every process."""
         from ashvale.net.operator import BANS_MS, Bans, Door
         server = self.server
         assert server is not None
-        bans = Bans(state, self.exchange.ban)
+        bans = Bans(state, lambda names: self._ban("door", names))
         self.operator = Door(self.loop, where, bans, lambda name: name in self.exchange.ever,
                              lambda: server.ready, server.drain)
 
@@ -96,6 +117,11 @@
             self.loop.call_at(self.loop.now() + BANS_MS, look)
         self.loop.call_at(self.loop.now() + BANS_MS, look)
 
+    def _ban(self, source: str, names: frozenset[str]) -> None:
+        """Endpoints that get nothing new: by this courier's own door, or by the fleet."""
+        self._banned[source] = names
+        self.exchange.ban(frozenset[str]().union(*self._banned.values()))
+
     def _adopt(self) -> None:
         """Take over what the process before an upgrade still owes, once it has ended."""
         journal = self.exchange.journal
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -460,6 +460,16 @@
         if again:
             self.instances_known(api.ListKind.DELTA, again)
 
+    def beside(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
+        """An instance's destination and zone, and all instances of that destination and the ready ones, each
+        with its zone; None for one that the list does not name."""
+        now = {i.name: i for i in self._told_now()}
+        if (found := now.get(name)) is None:
+            return None
+        kin = {i.name: i.zone for i in now.values() if i.dest == found.dest}
+        ready = {n: zone for n, zone in kin.items() if now[n].ready and n not in self.banned}
+        return found.dest, found.zone, kin, ready
+
     def _told_now(self) -> list[Instance]:
         """The instances that the list names as it stands; the others must not be told anew as if it did."""
         return [i for i in self.instances.values() if not i.gone and i.name not in self._left]
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from ashvale.fleet import permits as rules
 from ashvale.fleet.members import Members, Rhythm, Status, View
 from ashvale.fleet.record import (
     Append,
@@ -37,7 +38,20 @@
     majority,
     voters_at,
 )
-from ashvale.fleet.state import Acquire, Command, Put, Release, Result, State, Unknown, encode
+from ashvale.fleet.state import (
+    Acquire,
+    Ask,
+    Back,
+    Command,
+    Declare,
+    Put,
+    Release,
+    Result,
+    State,
+    Unban,
+    Unknown,
+    encode,
+)
 
 COMPACT_AT = 2000        # entries in the log, beyond which what they came to takes their place
 OPEN_MOST = 256          # requests of this courier under way, and of others at a leader
@@ -114,8 +128,20 @@
     sent: float
 
 
+class InForce(msgspec.Struct, frozen=True, tag="inforce"):
+    """The bans as they were decided at that place of the record bind this courier now."""
+
+    at: int
+
+
+class Noted(msgspec.Struct, frozen=True, tag="noted"):
+    """The leader knows."""
+
+    at: int
+
+
 Body = Union[Vote, Voted, Append, Install, Appended, Pull, Pulled, Hello, Welcome, Stale, Ping, Ack, Look,
-             Saw, Propose, Proposed, Renew, Renewed]
+             Saw, Propose, Proposed, Renew, Renewed, InForce, Noted]
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -135,6 +161,7 @@
     incarnation: int = 0
     lost: bool = False
     seen: dict[str, tuple[int, str]] = {}  # by name: the latest incarnation, and its life
+    back: int = 0  # the number of a permit that was ended at this courier itself, whoever may know of it
 
 
 @dataclass(frozen=True)
@@ -148,6 +175,7 @@
     timing: Timing = Timing()
     rhythm: Rhythm = Rhythm()
     follow: float = 1000.0            # how often one that does not vote asks what was decided
+    buildings: tuple[tuple[str, str], ...] = ()  # couriers, and where they stand
 
 
 @dataclass
@@ -206,6 +234,15 @@
         self.lost_voters: dict[str, int] = {}
         self.looks: dict[str, set[str]] = {}
         self.pull_at = self.hello_at = now
+        self.minute = -1        # of the day, in UTC, for quiet hours; its driver says so
+        self.ready = True       # its driver's word that this courier takes messages, but for a permit
+        self.ready_since = now
+        self.granted_at = 0.0   # at the leader: when it last applied a grant
+        self.banned_at: dict[str, tuple[int, float]] = {}  # at the leader: bans, and since when it knows
+        self.in_force: dict[str, int] = {}  # at the leader: by which bans others act
+        self.noted: tuple[str, int] = "", 0
+        self.tell_at = 0.0
+        self.buildings = dict(setup.buildings)
         self._begun = False
         self._was: tuple[object, ...] = ()
         self._fx = Effects(kept=True)
@@ -232,8 +269,11 @@
         self._fx.sends += [(name, Ping()) for name in asks]
         self._fx.sends += [(helper, Look(name)) for helper, name in helps]
         self._readmit(now)
+        self._serve_again(now)
+        self._grant_next(now)
         self._requests(now)
         self._renew(now)
+        self._tell_bans(now)
         return self._done(now)
 
     @property
@@ -316,6 +356,99 @@
         held = self.leases.get(lease)
         return held.number if held is not None and now < held.until else 0
 
+    # In and out of service
+
+    @property
+    def out(self) -> int:
+        """The number of the permit by which this courier is out of service now; 0 while it serves.
+
+        Once nought for a permit it stays so: it was called back, at this courier or in the record, or the
+        restart for which it was granted has happened. So a `Back` that is under way is never a lie.
+        """
+        permit = self.state.permits.get(self.setup.name)
+        if permit is None or permit.back or permit.number <= self.kept.back:
+            return 0
+        return 0 if permit.kind == "restart" and permit.life < self.kept.incarnation else permit.number
+
+    def come_back(self, now: float) -> Effects:
+        """An operator calls this courier back; nobody's leave is needed, and a majority may be far."""
+        if number := self.out:
+            self.kept.back, self._fx.kept = number, True
+            self._log("called back", number=number)
+        return self._done(now)
+
+    def _serve_again(self, now: float) -> None:
+        """A holder that serves again says so, once it is ready and warm, until the record has it."""
+        permit = self.state.permits.get(self.setup.name)
+        if not self.ready or self.out:
+            self.ready_since = now
+        elif permit is not None and self._begun and now - self.ready_since >= self.state.budget.warm_ms:
+            id = f"back/{self.setup.name}/{self.life}/{permit.number}"
+            if id not in self.requests and len(self.requests) < OPEN_MOST:
+                self.requests[id] = Request(Back(id, self.setup.name, permit.number), now, now)
+
+    def outs(self) -> dict[str, str]:
+        """Whom this courier cannot confirm as serving, with their buildings: they count as out."""
+        gone = {name for name, m in self.members.members.items() if m.status is not Status.SERVING}
+        if self.members.own.status != Status.SERVING:
+            gone.add(self.setup.name)
+        return {name: self.buildings.get(name, "") for name in sorted(gone)}
+
+    def may_go(self, courier: str, now: float) -> rules.No | None:
+        """Whether a courier would be granted leave, as far as this one sees."""
+        ask = self._filled(Ask("", courier, "drain", "", ""), now)
+        return rules.may_go(self.state.budget, self.state.permits, self.state.queue, courier, ask.building,
+                            ask.out, ask.size, ask.size_building, ask.minute, ask.apart_left)
+
+    def _filled(self, m: Ask, now: float) -> Ask:
+        """At the leader: what it knows of the fleet, beside what was asked."""
+        where = self.buildings.get(m.courier, "")
+        names = [self.setup.name, *self.setup.peers]
+        member = self.members.members.get(m.courier)
+        life = m.life or (member.view.incarnation if member is not None else self.kept.incarnation)
+        since = max(self.granted_at, self.record.led_since if self.record.role is Role.LEADER else now)
+        apart = max(0.0, self.state.budget.apart_ms - (now - since))
+        return msgspec.structs.replace(
+            m, life=life, building=where, out=self.outs(), size=len(names), minute=self.minute,
+            size_building=sum(self.buildings.get(name, "") == where for name in names), apart_left=apart)
+
+    def _sees(self, now: float) -> bool:
+        """At the leader: whether it surely leads, and has had time to see who is there."""
+        rhythm = self.setup.rhythm
+        return (now < self.record.leads_until(now) and self.record.applied == self.record.commit
+                and now - self.record.led_since >= 2 * rhythm.every + rhythm.patience)
+
+    def _grant_next(self, now: float) -> None:
+        """The leader: whoever waits longest goes as soon as the budget lets it; bans end at their time."""
+        if self.record.role is not Role.LEADER or not self._sees(now):
+            return
+        if self.state.queue:
+            first = self.state.queue[0]
+            if self.may_go(first.courier, now) is None:
+                id = f"grant/{first.number}/{self.record.term}/{self.state.applied}"
+                self._propose(Ask(id, first.courier, first.kind, first.who, first.why, True, grant=True), now)
+        for name, ban in list(self.state.bans.items()):
+            number, since = self.banned_at.setdefault(name, (ban.number, now))
+            if number != ban.number:
+                self.banned_at[name] = number, since = ban.number, now
+            if 0.0 < ban.ends_ms <= now - since:
+                self._propose(Unban(f"end/{name}/{ban.number}", name, "its end", ban.number), now)
+        self.banned_at = {name: at for name, at in self.banned_at.items() if name in self.state.bans}
+
+    def _tell_bans(self, now: float) -> None:
+        """Tell the leader by which bans this courier acts, until it has noted it."""
+        leader, at = self.record.leader, self.state.bans_at
+        if self.record.role is Role.LEADER:
+            self.in_force[self.setup.name] = at
+        elif leader and self.noted != (leader, at) and now >= self.tell_at:
+            self.tell_at = now + self.setup.rhythm.every
+            self._fx.sends.append((leader, InForce(at)))
+
+    def confirmed_bans(self) -> dict[str, int]:
+        """At the leader: by which bans each courier acts that can be confirmed to be there now."""
+        there = {name for name, m in self.members.members.items() if m.status is Status.SERVING}
+        return {name: at for name, at in self.in_force.items() if name in there or name == self.setup.name}
+
     # Names and incarnations
 
     def _votes(self) -> bool:
@@ -418,6 +551,13 @@
         elif isinstance(body, Proposed):
             if body.id in self.requests and not body.retry:
                 self._result(body.id, body.result, now)
+        elif isinstance(body, InForce):
+            if self.record.role is Role.LEADER:
+                self.in_force[sender] = body.at
+                self._fx.sends.append((sender, Noted(body.at)))
+        elif isinstance(body, Noted):
+            if sender == self.record.leader:
+                self.noted = sender, body.at
         elif isinstance(body, Renew):
             self._renew_for(sender, body, now)
         elif isinstance(body, Renewed):
@@ -461,6 +601,15 @@
             return
         if isinstance(command, (Acquire, Release)) and result.ok:
             self.renewed[command.lease] = now
+        if isinstance(command, Ask) and result.ok:
+            self.granted_at = now
+            self._log("permit", courier=command.courier, number=result.number, kind=command.kind,
+                      who=command.who, why=command.why, despite=command.despite)
+        elif isinstance(command, Back) and result.ok:
+            self._log("permit ended", courier=command.courier, number=command.number)
+        if self.state.bans_at == entry.index:
+            self.tell_at = 0.0
+            self._tell_bans(now)
         for peer in self.asked_by.pop(command.id, ()):
             self._fx.sends.append((peer, Proposed(command.id, result)))
         if command.id in self.requests:
@@ -490,6 +639,12 @@
             return
         if isinstance(command, Acquire):
             command = msgspec.structs.replace(command, over=self._lapsed(command.lease, now))
+        elif isinstance(command, Ask):
+            if not self._sees(now):
+                return  # it is asked again; guards against a leave by who has yet to see who is there
+            command = self._filled(command, now)
+        elif isinstance(command, Declare):
+            command = msgspec.structs.replace(command, size=len(self.setup.peers) + 1)
         try:
             _, out = self.record.propose(encode(command), now)
         except Refused:
@@ -511,6 +666,11 @@
             return
         if command.id != m.id:
             return
+        # Only the courier itself says that it serves again, and only a leader grants.
+        if (isinstance(command, Back) and command.courier != sender
+                or isinstance(command, Ask) and command.grant):
+            self._fx.sends.append((sender, Proposed(m.id, Result(False, 0, "not for this courier to say"))))
+            return
         self._propose(command, now)
         if m.id in self.asked_by:
             self.asked_by[m.id].add(sender)
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -6,14 +6,15 @@
 
 `POST /fleet/1/FLEET` carries xxh64 of the body, seeded by the fleet's name, and an envelope in MessagePack;
 the answer is 204, and what is to be said comes back as a call of its own. `GET /fleet/1/FLEET/status` and
-`/log` tell what this courier knows; `POST /fleet/1/FLEET/put` has a key decided. All only for addresses of
-peers and for the loopback.
+`/log` tell what this courier knows; `POST /fleet/1/FLEET/WHAT` has something decided: `put`, and what
+`_ORDERS` names for drains and bans. All only for addresses of peers and for the loopback.
 """
 
 from __future__ import annotations
 
 import logging
 import os
+import time
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
@@ -26,8 +27,9 @@
 
 from ashvale.fleet.agent import Agent, Effects, Envelope, Setup
 from ashvale.fleet.members import Rhythm, Status
+from ashvale.fleet.permits import REASON_MOST, Budget
 from ashvale.fleet.record import Role, Timing
-from ashvale.fleet.state import Command, Put, Result
+from ashvale.fleet.state import Ask, Call, Command, Declare, Forget, Maint, Put, Result, Unban
 from ashvale.fleet.store import Spoilt, Store
 from ashvale.loop import Broken, Connection, Coroutine, Expired, Listener, Loop, Signal, Task, Timer, lasting
 from ashvale.net.aside import aside
@@ -44,6 +46,9 @@
 INPUTS_MOST = 1024          # what waits while a save is under way
 LOCK_MS = 500.0             # how often a folder is asked for that the process before an upgrade still has
 LOG_MOST = 200              # entries in one answer
+DOOR_MS = 900.0             # a caller at the operator's door waits a second
+ASK_AGAIN_MS = 5000.0       # when to come back after a no for which nothing better is known
+_ORDERS = ("put", "drain", "ready", "forget", "budget", "ban", "unban")
 _REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
             409: "Conflict", 413: "Too Large", 503: "Service Unavailable"}
 _encode = msgspec.msgpack.Encoder().encode
@@ -70,6 +75,43 @@
     return xxhash.xxh32_intdigest(fleet.encode())
 
 
+class Order(msgspec.Struct, forbid_unknown_fields=True):
+    """What an operator orders; which of it counts is for the call to say."""
+
+    who: str = ""
+    why: str = ""
+    courier: str = ""      # this one where none is named
+    kind: str = "drain"
+    wait: bool = False
+    despite: str = ""
+    dry: bool = False
+    endpoint: str = ""
+    ends_ms: float = 0.0
+    budget: Optional[Budget] = None
+    key: str = ""
+    data: str = ""
+    expect: int = -1
+
+
+class Service:
+    """What a courier's part in the fleet may do to the courier itself, and ask of it."""
+
+    def drain(self, on: bool) -> None:
+        """Send clients away, or take them again."""
+
+    def ban(self, names: frozenset[str]) -> None:
+        """Give nothing new to these endpoints, which the fleet has banned."""
+
+    def ready(self) -> bool:
+        """Whether it takes messages and knows where to send them, but for a drain."""
+        return True
+
+    def endpoint(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
+        """An endpoint's partner and building, and of that partner all listed and the ready ones with their
+        buildings; None where it was never listed."""
+        return None
+
+
 class Peer:
     """Messages on their way to one peer, one call at a time."""
 
@@ -105,8 +147,10 @@
 class Node:
     """One courier's part in the fleet, on a loop."""
 
-    def __init__(self, loop: Loop, told: Fleet, state: Path, random: Optional[Random] = None) -> None:
-        self.loop, self.told = loop, told
+    def __init__(self, loop: Loop, told: Fleet, state: Path, service: Optional[Service] = None,
+                 random: Optional[Random] = None) -> None:
+        self.loop, self.told, self.service = loop, told, service or Service()
+        self._drained, self._bans_at = False, 0
         self.folder = state / "fleet"
         self.random = random or Random(os.urandom(16))
         self.life = os.urandom(8).hex()
@@ -114,7 +158,8 @@
             told.name, told.courier, tuple(p.name for p in told.peers if p.name != told.courier),
             tuple(p.name for p in told.peers if p.votes),
             Timing(told.election_ms, told.beat_ms, told.drift),
-            Rhythm(told.every_ms, 0.8 * told.every_ms, told.suspect_ms), told.follow_ms)
+            Rhythm(told.every_ms, 0.8 * told.every_ms, told.suspect_ms), told.follow_ms,
+            tuple((p.name, p.building) for p in told.peers if p.building))
         self.store: Optional[Store] = None
         self.agent: Optional[Agent] = None
         self.why = "not begun"       # why it takes no part
@@ -178,6 +223,7 @@
         while self._inputs and not self._saving and self.agent is not None and not self.why:
             agent, store = self.agent, self.store
             assert store is not None
+            agent.minute, agent.ready = int(time.time()) // 60 % 1440, self.service.ready()
             fx = self._inputs.popleft()(agent)
             if not fx.saves:
                 self._carry_out(agent, fx)
@@ -204,6 +250,14 @@
         aside(self.loop, lambda: store.write(data, whole), saved)
 
     def _carry_out(self, agent: Agent, fx: Effects) -> None:
+        # First the courier itself: what is said to others rests on it.
+        if (drained := agent.out > 0) is not self._drained:
+            self._drained = drained
+            log.info("out of service" if drained else "in service again", extra={"permit": agent.out})
+            self.service.drain(drained)
+        if agent.state.bans_at != self._bans_at:
+            self._bans_at = agent.state.bans_at
+            self.service.ban(frozenset(agent.state.bans))
         for event, fields in fx.changes:
             log.info(event, extra=fields)
         for name, body in fx.sends:
@@ -259,7 +313,24 @@
                        for name, lease in sorted(agent.state.leases.items())},
             "keys": {key: {"data": value.data, "index": value.index}
                      for key, value in sorted(agent.state.keys.items())[:LOG_MOST]}}
-        return told
+        return told | self._service_status(agent, now)
+
+    def _service_status(self, agent: Agent, now: float) -> dict[str, Any]:
+        """Who is out and why, who waits, which endpoints are banned and who is known to keep to that."""
+        state, leads = agent.state, agent.record.role is Role.LEADER
+        known = agent.confirmed_bans() if leads else {}
+        names = [self.told.courier, *self.setup.peers]
+        leader = next((p.address for p in self.told.peers if p.name == agent.record.leader), ("", 0))
+        return {
+            "leader_at": f"{leader[0]}:{leader[1]}", "out": agent.out, "ready": self.service.ready(),
+            "budget": msgspec.to_builtins(state.budget),
+            "permits": {name: msgspec.to_builtins(permit) for name, permit in sorted(state.permits.items())},
+            "queue": [msgspec.to_builtins(waiting) for waiting in state.queue],
+            "counted_out": sorted({*agent.outs(), *state.permits}),
+            "bans": {name: msgspec.to_builtins(ban) | ({
+                "confirmed": sorted(n for n in names if known.get(n, 0) >= ban.number),
+                "missing": sorted(n for n in names if known.get(n, 0) < ban.number)} if leads else {})
+                for name, ban in sorted(state.bans.items())}}
 
     def entries(self) -> list[dict[str, Any]]:
         """The latest decided entries."""
@@ -287,7 +358,7 @@
                 method, path, data = found
                 status, body = self._answer(host, method, path, data)
                 if body is None:
-                    status, body = yield from self._decided(data)
+                    status, body = yield from self._decided(path.rpartition("/")[2], data)
             except h11.RemoteProtocolError as error:
                 status, body = error.error_status_hint, b""
             except _TooLarge:
@@ -344,7 +415,7 @@
         what = "/".join(words[4:])
         if method == "GET" and what in ("status", "log"):
             return 200, msgspec.json.encode(self.status() if what == "status" else self.entries())
-        if method == "POST" and what == "put":
+        if method == "POST" and what in _ORDERS:
             return 200, None
         if method != "POST" or what:
             return 404, b"no such call"
@@ -359,13 +430,61 @@
             return 503, (self.why or "too much under way").encode()[:500]
         return 204, b""
 
-    def _decided(self, data: bytes) -> Coroutine[tuple[int, bytes]]:
+    def _decided(self, what: str, data: bytes) -> Coroutine[tuple[int, bytes]]:
         try:
-            wanted = msgspec.json.decode(data, type=dict[str, str])
-            command = Put(self.id(), wanted["key"], wanted["data"], int(wanted.get("expect", "-1")),
-                          wanted.get("who", ""))
-        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+            order = msgspec.json.decode(data, type=Order)
+            command = self._command(what, order)
+        except (msgspec.MsgspecError, ValueError) as error:
             return 400, str(error)[:200].encode()
+        if order.dry and isinstance(command, Ask) and self.agent is not None:
+            no = self.agent.may_go(command.courier, self.loop.now())
+            dry = Result(no is None, 0, no.why if no else "", no.after_ms if no else 0.0)
+            return (200 if no is None else 409), msgspec.json.encode(dry)
+        if isinstance(command, Call) and command.courier == self.told.courier:
+            self.come_back()
+        result = yield from self.decide(command, float("inf"))
+        return (200 if result.ok else 409), msgspec.json.encode(result)
+
+    def _command(self, what: str, order: Order) -> Command:
+        """What an order comes to. Raises `ValueError`, by the faulty key."""
+        names = [self.told.courier, *self.setup.peers]
+        courier = order.courier or self.told.courier
+        if order.dry and what != "drain":  # guards a rehearsal against being carried out
+            raise ValueError("'dry' is for drains alone")
+        if what == "put":
+            if not order.key:
+                raise ValueError("'key' is missing")
+            return Put(self.id(), order.key, order.data, order.expect, order.who)
+        for key in ("who", "why") if what in ("drain", "ban", "budget", "forget") else ("who",):
+            if not (text := str(getattr(order, key))).strip() or len(text) > REASON_MOST:
+                raise ValueError(f"'{key}' is missing, or longer than {REASON_MOST} characters")
+        if len(order.despite) > REASON_MOST:
+            raise ValueError(f"'despite' is longer than {REASON_MOST} characters")
+        if what in ("drain", "ready", "forget") and courier not in names:
+            raise ValueError(f"'courier' is '{courier}', which no courier is called")
+        if what == "drain":
+            if order.kind not in ("drain", "restart"):
+                raise ValueError(f"'kind' is '{order.kind}', 'drain' or 'restart' was expected")
+            own = self.agent.kept.incarnation if self.agent is not None and courier == names[0] else 0
+            return Ask(self.id(), courier, order.kind, order.who, order.why, order.wait, order.despite, own)
+        if what == "ready":
+            return Call(self.id(), courier, order.who)
+        if what == "forget":
+            return Forget(self.id(), courier, order.who, order.why)
+        if what == "unban":
+            return Unban(self.id(), order.endpoint, order.who)
+        if what == "budget":
+            if order.budget is None:
+                raise ValueError("'budget' is missing")
+            return Declare(self.id(), order.budget, order.who, order.why)
+        if (found := self.service.endpoint(order.endpoint)) is None:
+            raise ValueError(f"'endpoint' is '{order.endpoint[:80]}', which was never listed")
+        partner, building, listed, ready = found
+        return Maint(self.id(), order.endpoint, partner, order.who, order.why, building, order.ends_ms,
+                     order.despite, listed, ready)
+
+    def decide(self, command: Command, until: float) -> Coroutine[Result]:
+        """Have a command decided; after `until` it is told as unknown."""
         found: list[Result] = []
         done = Signal()
 
@@ -375,8 +494,37 @@
 
         self.request(command, answer)
         while not found:
-            yield done, float("inf")
-        return (200 if found[0].ok else 409), msgspec.json.encode(found[0])
+            if self.loop.now() >= until:
+                return Result(False, 0, "unknown: not decided in time")
+            try:
+                yield done, until
+            except Expired:
+                pass
+        return found[0]
+
+    # This courier in and out of service
+
+    def come_back(self) -> None:
+        """An operator calls this courier back into service: at once, whoever may know of it."""
+        if not self._input(lambda agent: agent.come_back(self.loop.now())):
+            self.service.drain(False)  # guards service against a record that cannot be written any more
+
+    def asked_to_drain(self, on: bool) -> Coroutine[tuple[int, float]]:
+        """At the operator's door: a status and, with a no, when to come back (ms). Out of service goes who
+        holds a permit; coming back needs nobody's leave."""
+        if not on:
+            self.come_back()
+            self.request(Call(self.id(), self.told.courier, "door"), lambda _result: None)
+            return 200, 0.0
+        own = self.agent.kept.incarnation if self.agent is not None else 0
+        ask = Ask(self.id(), self.told.courier, "drain", "door", "asked at the operator's door", life=own)
+        result = yield from self.decide(ask, self.loop.now() + DOOR_MS)
+        if result.ok:
+            return 200, 0.0
+        log.info("no permit", extra={"why": result.why})
+        if result.why.startswith("unknown"):  # guards a caller that was told no against a late yes
+            self.request(Call(self.id(), self.told.courier, "door"), lambda _result: None)
+        return 503, result.after_ms or ASK_AGAIN_MS
 
     def leave(self) -> None:
         """Tell others that this courier goes by its own will."""
--- a/ashvale/fleet/state.py
+++ b/ashvale/fleet/state.py
@@ -1,4 +1,4 @@
-"""What the decided entries come to: named leases, and keys with values. The same at every courier.
+"""What the decided entries come to: leases, keys with values, permits and bans. The same at every courier.
 
 It owns that state and how each command changes it. It must never look at a clock, draw a number or depend on
 the order of a set: two couriers that have applied the same entries hold the same bytes. Time comes in through
@@ -11,6 +11,9 @@
 
 import msgspec
 
+from ashvale.fleet import permits as rules
+from ashvale.fleet.permits import Ban, Budget, No, Permit, Waiting
+
 LEASES_MOST, KEYS_MOST, VALUE_MOST = 4096, 16384, 32 * 1024
 DONE_MOST = 2048  # results kept to answer a command that comes once more
 
@@ -57,15 +60,98 @@
     who: str = ""
 
 
-Command = Union[Acquire, Release, Put]
+class Declare(msgspec.Struct, frozen=True, tag="declare"):
+    """Another budget; `size` is the leader's word for how many couriers there are."""
+
+    id: str
+    budget: Budget
+    who: str
+    why: str
+    size: int = 0
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask"):
+    """A courier is to go out of service, at once or (`wait`) in its turn; the leader fills in the rest.
+
+    `despite` is a reason to set the budget aside. `grant` is said by the leader alone, of who waits.
+    """
+
+    id: str
+    courier: str
+    kind: str
+    who: str
+    why: str
+    wait: bool = False
+    despite: str = ""
+    life: int = 0
+    building: str = ""
+    out: dict[str, str] = {}
+    size: int = 0
+    size_building: int = 0
+    minute: int = -1
+    apart_left: float = 0.0
+    grant: bool = False
+
+
+class Call(msgspec.Struct, frozen=True, tag="call"):
+    """A courier is called back into service, and out of the queue."""
+
+    id: str
+    courier: str
+    who: str
+
+
+class Back(msgspec.Struct, frozen=True, tag="back"):
+    """The holder's own word that it serves again; `number` is the permit's that it ends."""
+
+    id: str
+    courier: str
+    number: int
+
+
+class Forget(msgspec.Struct, frozen=True, tag="forget"):
+    """An operator's word that a holder never comes back: its permit ends without it."""
+
+    id: str
+    courier: str
+    who: str
+    why: str
+
+
+class Maint(msgspec.Struct, frozen=True, tag="maint"):
+    """An endpoint is to get nothing new; `listed` and `ready` are its partner's, as the asked one sees."""
+
+    id: str
+    endpoint: str
+    partner: str
+    who: str
+    why: str
+    building: str = ""
+    ends_ms: float = 0.0
+    despite: str = ""
+    listed: dict[str, str] = {}
+    ready: dict[str, str] = {}
+
+
+class Unban(msgspec.Struct, frozen=True, tag="unban"):
+    """`number` is the ban's that ends, or 0 for whichever there is."""
+
+    id: str
+    endpoint: str
+    who: str
+    number: int = 0
+
+
+Command = Union[Acquire, Release, Put, Declare, Ask, Call, Back, Forget, Maint, Unban]
 
 
 class Result(msgspec.Struct, frozen=True):
-    """What a command came to; `number` is the place in the record, and a lease's number."""
+    """What a command came to; `number` is the place in the record, and a lease's or permit's number."""
 
     ok: bool
     number: int = 0
     why: str = ""
+    after_ms: float = 0.0
 
 
 class _Kept(msgspec.Struct):
@@ -73,6 +159,11 @@
     leases: dict[str, Lease] = {}
     keys: dict[str, Value] = {}
     done: dict[str, Result] = {}
+    budget: Budget = Budget()
+    permits: dict[str, Permit] = {}
+    queue: list[Waiting] = []
+    bans: dict[str, Ban] = {}
+    bans_at: int = 0  # where the bans last changed
 
 
 _commands = msgspec.json.Decoder(Command)
@@ -100,6 +191,26 @@
     def keys(self) -> dict[str, Value]:
         return self._kept.keys
 
+    @property
+    def budget(self) -> Budget:
+        return self._kept.budget
+
+    @property
+    def permits(self) -> dict[str, Permit]:
+        return self._kept.permits
+
+    @property
+    def queue(self) -> list[Waiting]:
+        return self._kept.queue
+
+    @property
+    def bans(self) -> dict[str, Ban]:
+        return self._kept.bans
+
+    @property
+    def bans_at(self) -> int:
+        return self._kept.bans_at
+
     def pack(self) -> bytes:
         return msgspec.json.encode(self._kept)
 
@@ -128,6 +239,12 @@
     def _carry_out(self, index: int, command: Command) -> Result:
         if isinstance(command, Put):
             return self._put(index, command)
+        if isinstance(command, Ask):
+            return self._ask(index, command)
+        if isinstance(command, (Declare, Call, Back, Forget)):
+            return self._permit(index, command)
+        if isinstance(command, (Maint, Unban)):
+            return self._ban(index, command)
         held = self.leases.get(command.lease)
         if isinstance(command, Release):
             if held is None or (held.holder, held.number) != (command.holder, command.number):
@@ -141,6 +258,79 @@
         self.leases[command.lease] = Lease(command.holder, index, command.ttl)
         return Result(True, index)
 
+    def _ask(self, index: int, m: Ask) -> Result:
+        """A permit, a place in the queue, or no. A second permit takes the first one's place: what was said
+        of the first, a late `Back` above all, counts no more."""
+        kept, known = self._kept, self.permits.get(m.courier)
+        if m.kind not in rules.KINDS or not m.why.strip() or not m.who.strip():
+            return Result(False, 0, "a kind, a reason and a name are needed")
+        place = next((w for w in kept.queue if w.courier == m.courier), None)
+        if m.grant and place is None:
+            return Result(False, 0, "waits no more")
+        no: Optional[No] = None
+        if known is None and not m.despite:
+            no = rules.may_go(kept.budget, kept.permits, kept.queue, m.courier, m.building, m.out, m.size,
+                              m.size_building, m.minute, m.apart_left)
+        if no is None and known is None and len(kept.permits) >= rules.PERMITS_MOST:
+            no = No("too many permits")
+        if no is None:
+            kept.queue = [w for w in kept.queue if w.courier != m.courier]
+            kept.permits[m.courier] = Permit(index, m.kind, m.who, m.why, m.building, m.life,
+                                             False, m.despite)
+            return Result(True, index)
+        if m.wait and place is None:
+            if len(kept.queue) >= rules.QUEUE_MOST:
+                return Result(False, 0, "too many wait", no.after_ms)
+            kept.queue.append(Waiting(m.courier, m.kind, m.who, m.why, index))
+        waits = f"it waits: {no.why}" if m.wait or place is not None else no.why
+        return Result(False, 0, waits, no.after_ms)
+
+    def _permit(self, index: int, m: Declare | Call | Back | Forget) -> Result:
+        kept = self._kept
+        if isinstance(m, Declare):
+            if faults := rules.faults(m.budget, m.size):
+                return Result(False, 0, "; ".join(faults))
+            if not m.why.strip() or not m.who.strip():
+                return Result(False, 0, "a reason and a name are needed")
+            kept.budget = m.budget
+            return Result(True, index)
+        permit = kept.permits.get(m.courier)
+        if isinstance(m, Back):
+            if permit is None or permit.number != m.number:
+                return Result(False, permit.number if permit else 0, "another permit, or none")
+            del kept.permits[m.courier]
+            return Result(True, index)
+        waited = len(kept.queue)
+        kept.queue = [w for w in kept.queue if w.courier != m.courier]
+        if isinstance(m, Forget):
+            if permit is None or not m.why.strip():
+                return Result(False, 0, "no permit" if permit is None else "a reason is needed")
+            del kept.permits[m.courier]
+        elif permit is not None:
+            kept.permits[m.courier] = msgspec.structs.replace(permit, back=True)
+        elif waited == len(kept.queue):
+            return Result(False, 0, "neither out nor waiting")
+        return Result(True, index)
+
+    def _ban(self, index: int, m: Maint | Unban) -> Result:
+        kept, known = self._kept, self.bans.get(m.endpoint)
+        if isinstance(m, Unban):
+            if known is None or m.number not in (0, known.number):
+                return Result(False, 0, "not banned, or anew")
+            del kept.bans[m.endpoint]
+        else:
+            if not m.why.strip() or not m.who.strip() or m.ends_ms < 0.0:
+                return Result(False, 0, "a reason, a name and an end that is not past are needed")
+            no = None if known or m.despite else rules.may_ban(
+                kept.budget, kept.bans, m.endpoint, m.building, m.listed, m.ready)
+            if no is None and known is None and len(kept.bans) >= rules.BANS_MOST:
+                no = No("too many endpoints are banned")
+            if no is not None:
+                return Result(False, 0, no.why, no.after_ms)
+            kept.bans[m.endpoint] = Ban(index, m.partner, m.building, m.who, m.why, m.ends_ms, m.despite)
+        kept.bans_at = index
+        return Result(True, index)
+
     def _put(self, index: int, command: Put) -> Result:
         known = self.keys.get(command.key)
         if command.expect >= 0 and command.expect != (known.index if known else 0):
--- a/ashvale/net/operator.py
+++ b/ashvale/net/operator.py
@@ -84,6 +84,8 @@
     def __init__(self, loop: Loop, address: Address, bans: Bans, listed: Callable[[str], bool],
                  ready: Callable[[], bool], drain: Callable[[bool], None]) -> None:
         self.loop, self.bans, self.listed, self.ready, self.drain = loop, bans, listed, ready, drain
+        # Where couriers agree on who goes: the status and, with a no, when to come back (ms).
+        self.agreed: Optional[Callable[[bool], Coroutine[tuple[int, float]]]] = None
         self.listener = Listener(loop, address, self._serve, CALLERS_MOST, "operator")
 
     def close(self) -> None:
@@ -94,7 +96,7 @@
         until = self.loop.now() + CALL_MS
         head: Optional[h11.Request] = None
         size = 0
-        status = 400
+        status, after = 400, 0.0
         try:
             while True:
                 event = http.next_event()
@@ -109,7 +111,11 @@
                     head = event
                 elif isinstance(event, h11.EndOfMessage) and head is not None:
                     path = head.target.decode("latin-1").partition("?")[0]
-                    status = self.answer(head.method.decode(), path)
+                    if (self.agreed is not None and head.method == b"POST"
+                            and path in ("/healthcheck/fail", "/healthcheck/ok")):
+                        status, after = yield from self.agreed(path.endswith("/fail"))
+                    else:
+                        status = self.answer(head.method.decode(), path)
                     break
                 elif isinstance(event, (h11.ConnectionClosed,)) or event is h11.PAUSED:
                     return
@@ -118,6 +124,7 @@
         except (Broken, Expired):
             return  # guards the table against a caller that said nothing or half: its slot is free again
         reply = (f"HTTP/1.1 {status} {_REASONS.get(status, 'No')}\r\n"
+                 f"{f'Retry-After: {after / 1000.0:.3f}' + chr(13) + chr(10) if after else ''}"
                  "Content-Length: 0\r\nConnection: close\r\n\r\n")
         try:
             yield from connection.send(reply.encode(), self.loop.now() + CALL_MS)
