--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -317,6 +317,8 @@
             self.members.heard(m.views[0], now)
         self.members.told(list(m.views[1:]), m.sender, now)
         self._handle(m.sender, m.body, now)
+        if self.state.queue:  # what was just decided may let the next one go
+            self._grant_next(now)
         return self._done(now)
 
     def request(self, command: Command, now: float) -> Effects:
--- a/ashvale/lab/fleet.py
+++ b/ashvale/lab/fleet.py
@@ -84,6 +84,11 @@
                            Random(f"{self.world.seed}/{self.name}/{self.lives}"), self.clock())
         self._do(lambda agent: agent.tick(self.clock()))
 
+    def again(self) -> None:
+        """Start after a kill, unless it runs already or stays away."""
+        if self.agent is None and self.name not in self.world.never:
+            self.start()
+
     def kill(self) -> None:
         self.agent, self.stopped = None, False
         self.waiting.clear()
@@ -121,8 +126,7 @@
             if self.torn:
                 self.torn = False
                 self.kill()  # nothing of this step is on the disk, and nothing of it was said
-                if self.name not in self.world.never:
-                    self.world.later(500.0, self.start)
+                self.world.later(500.0, self.again)
                 return
             self.disk.write(agent, fx)
         for peer, body in fx.sends:
@@ -286,8 +290,7 @@
             elif kind == "old copy":
                 host.disk = host.old.copy()
                 host.disk.kept.lost = True  # as the store sees that the file is a copy
-            self.later(span, lambda: host.start() if host.agent is None and host.name not in self.never
-                       else None)
+            self.later(span, host.again)
         elif kind == "stop":
             host.stop()
             self.later(span, host.go_on)
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -1,4 +1,4 @@
-"""The protocol of votes and leases as small models, for a checker that walks through all their states.
+"""The protocol of votes, leases and permits as small models, for a checker that walks through all states.
 
 Each step names the code it stands for; each planted mistake has to be found. What the models leave out (times
 of elections, the log, the network's order) the laboratory plays on the code itself.
@@ -85,13 +85,44 @@
         invariants={"one holder": lambda d: not (d["now"] < d["until"] and d["now"] < d["other"])})
 
 
+def permits(mistake: str) -> Protocol:
+    """Two couriers, of which one may be out at once; the record, what each knows of it, words under way.
+
+    Fields of each: the permit's number in the record, the number by which it is out, the latest that it came
+    back from, and its word of that, which may come late and twice. Then the next number.
+    """
+    def steps(s: tuple[int, ...]) -> list[tuple[str, tuple[int, ...]]]:
+        found, number = [], s[8]
+        for i in range(2):
+            at = 4 * i
+            permit, out, back, word = s[at:at + 4]
+            if number < 5 and (permit or not s[4 - at]):  # State._ask, as the record stands
+                found.append((f"{i} granted", put(put(s, at, number), 8, number + 1)))
+            found.append((f"{i} learns", put(s, at + 1, permit if permit > back else 0)))  # Agent.out
+            if out:  # Agent.come_back, saved first
+                found.append((f"{i} comes back", put(put(s, at + 1, 0), at + 2, out)))
+            if permit and (permit == back or mistake == "a restart ends it"):  # Agent._serve_again
+                found.append((f"{i} says so", put(s, at + 3, permit)))
+            if word and (permit == word or mistake == "any word ends it"):  # State._permit
+                found.append((f"{i} is seen back", put(s, at, 0)))
+            if permit and mistake == "ends by time":
+                found.append((f"{i} lapses", put(s, at, 0)))
+            if not permit and mistake == "a minority grants":
+                found.append((f"{i} goes", put(s, at + 1, 9)))
+        return found
+
+    names = tuple(f"{what}{i}" for i in range(2) for what in ("permit", "out", "back", "word"))
+    return Protocol(name="permits", candidate=False, fields=(*names, "next"), initial=(0,) * 8 + (1,),
+                    transitions=steps, invariants={"one out": lambda d: not (d["out0"] and d["out1"])})
+
+
 def holds(model: Protocol) -> tuple[bool, Any]:
     found = check_safety(model, max_states=500_000)["properties"]
     (told,) = found.values()
     return told["holds"], told.get("counterexample")
 
 
-@pytest.mark.parametrize("model", [votes, leases])
+@pytest.mark.parametrize("model", [votes, leases, permits])
 def test_the_protocol_holds_in_every_state(model: Any) -> None:
     assert holds(model(""))[0]
 
@@ -100,7 +131,8 @@
     (votes, "votes twice"), (votes, "vote not saved"), (votes, "folder lost and votes"),
     (votes, "no majority"),
     (leases, "counts from the answer"), (leases, "forgets the change of leader"),
-    (leases, "gives away at once"), (leases, "used after release")])
+    (leases, "gives away at once"), (leases, "used after release"), (permits, "ends by time"),
+    (permits, "a restart ends it"), (permits, "any word ends it"), (permits, "a minority grants")])
 def test_a_planted_mistake_has_a_shortest_way_to_it(model: Any, mistake: str) -> None:
     ok, way = holds(model(mistake))
     assert not ok and len(way) >= 2
