Let the fleet run releases by itself: waves, a halt by hand and by itself, and a way back

Need: a release that goes wrong went on, and it hung on the one machine that ran the script. Now its plan and how far it is stand in the record (ashvale/fleet/releases.py, rules without I/O); whoever leads asks for the permits of the wave, halts it and begins the next, each by an entry, so it goes on when that courier dies and nothing happens twice. A step is the operator's own command, from each courier's own file ([fleet.step.NAME], run and back): begun once, under a permit, after the entry that says so was decided. It halts by hand at any courier; when a step fails, hangs, or leaves another version than it said; when a released courier is not there or begins anew; when those released give up more than the others over the same time (pooled two-proportion z above 4 and a gap above the band); and when a permit was taken despite the budget. Back goes through the waves from the last one on, for those that were touched. Not taken: commands in the record (whoever reaches a peer's address could run any), and a lease for a driver of its own, as the leader has all that it needs.

Found on the way: with a list that the file names no whole one comes for ten seconds, so a courier was not taken for ready and each permit ended that much later; and the word that a step was decided may come before the entry.

--- a/ashvale/cli/fleet.py
+++ b/ashvale/cli/fleet.py
@@ -298,3 +298,112 @@
     now = ask(told[0], told[1], "status").get("budget", {})
     _order(told, "budget", why=why, who=who,
            budget=now | {key: value for key, value in changes.items() if value is not None})
+
+
+@fleet.group()
+def release() -> None:
+    """Releases that the fleet runs by itself: waves, a halt, a way back."""
+
+
+def _plan(file: str) -> dict[str, Any]:
+    """A plan as TOML; times in seconds as `soak` and `step_time`. Ends the process where it is none."""
+    import tomllib
+    try:
+        with open(file, "rb") as source:
+            told = tomllib.load(source)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(UNREACHED)
+    for key, name in (("soak", "soak_ms"), ("step_time", "step_ms")):
+        if key in told:
+            told[name] = told.pop(key) * 1000.0
+    return told
+
+
+def _show(one: dict[str, Any] | None) -> Table | str:
+    """A release as a table of its waves."""
+    if not one:
+        return "no release is under way"
+    plan = one["plan"]
+    title = (f"{plan['name']}: {one['status']}, on its way {one['way']}, wave {one['wave'] + 1} of "
+             f"{len(plan['waves'])}, by {one['who']}: {one['why']}")
+    table = Table("wave", "courier", "state", "way", "why", title=title, box=None, caption=one["note"])
+    for number, wave in enumerate(plan["waves"], 1):
+        for name in wave:
+            part = one["parts"][name]
+            table.add_row(str(number), name, part["state"], part["way"], part["why"])
+    return table
+
+
+@release.command("plan")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.pass_obj
+def release_plan(told: tuple[str, str, bool], file: str) -> None:
+    """Only check a plan against the fleet and its budget."""
+    _order(told, "release", why="checked", plan=_plan(file), dry=True)
+
+
+@release.command("start")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@_why
+@_who
+@click.pass_obj
+def release_start(told: tuple[str, str, bool], file: str, why: str, who: str) -> None:
+    """Begin a release."""
+    _order(told, "release", why=why, who=who, plan=_plan(file))
+
+
+@release.command("status")
+@click.pass_obj
+def release_status(told: tuple[str, str, bool]) -> None:
+    """The release under way, as this courier knows it; exit code 1 where it is halted."""
+    found = ask(told[0], told[1], "status").get("release")
+    if told[2]:
+        click.echo(json.dumps(found, indent=1))
+    else:
+        Console().print(_show(found))
+    sys.exit(ALONE if found and found["status"] == "halted" else 0)
+
+
+@release.command("watch")
+@click.pass_obj
+def release_watch(told: tuple[str, str, bool]) -> None:
+    """The waves as they go, until the release is over or halted."""
+    from rich.live import Live
+    found = ask(told[0], told[1], "status").get("release")
+    with Live(_show(found), console=Console()) as live:
+        while found and found["status"] == "running":
+            time.sleep(0.5)
+            found = ask(told[0], told[1], "status").get("release")
+            live.update(_show(found))
+    sys.exit(ALONE if found else 0)
+
+
+@release.command("history")
+@click.pass_obj
+def release_history(told: tuple[str, str, bool]) -> None:
+    """The latest releases that are over."""
+    past = ask(told[0], told[1], "status").get("past", [])
+    if told[2]:
+        click.echo(json.dumps(past, indent=1))
+    for one in () if told[2] else past:
+        click.echo(f"{one['number']:>8} {one['plan']['name']}: {one['note']}; by {one['who']}: {one['why']}")
+
+
+def _steering(verb: str, text: str) -> None:
+    @release.command(verb, help=text)
+    @click.option("--why", default="", help="The reason; kept in the record.")
+    @click.option("--courier", default="", help="With `skip`: which.")
+    @_who
+    @click.pass_obj
+    def order(told: tuple[str, str, bool], why: str, courier: str, who: str) -> None:
+        _order(told, "steer", verb=verb, why=why, who=who, courier=courier)
+
+
+for _verb, _text in (
+        ("halt", "Begin nothing more; steps that have begun end."),
+        ("resume", "Go on where it halted; whoever failed is tried again."),
+        ("back", "Those that were touched go back, from the last wave on."),
+        ("skip", "Leave one courier as it is."),
+        ("abandon", "End it where it stands.")):
+    _steering(_verb, _text)
--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -105,6 +105,8 @@
     every_ms: float
     suspect_ms: float
     follow_ms: float
+    version: str = ""
+    steps: Mapping[str, tuple[tuple[str, ...], tuple[str, ...]]] = field(default_factory=dict)  # run, back
 
 
 @dataclass(frozen=True)
@@ -179,7 +181,7 @@
 _OWN_KEYS = {"trace": {"enabled", "folder", "budget", "age", "share", "slowest", "details", "live",
                        "mail_headers"}, "log": {"level", "form"},
              "fleet": {"name", "courier", "listen", "peer", "election", "beat", "drift", "every", "suspect",
-                       "follow"}}
+                       "follow", "version", "step"}}
 VOTERS_MOST, PEERS_MOST = 7, 512
 COURIERS_MOST = 5000
 
@@ -265,7 +267,8 @@
         _quantity(table, "drift", "share", "1 %", 0.0, where),
         _quantity(table, "every", "time", "500 ms", 10.0, where),
         _quantity(table, "suspect", "time", "3 s", 50.0, where),
-        _quantity(table, "follow", "time", "1 s", 10.0, where))
+        _quantity(table, "follow", "time", "1 s", 10.0, where),
+        get(table, "version", str, "", where), _steps(table, where))
     if not made.name or "/" in made.name or len(made.name) > 60:
         raise ConfigError(f"{where}: key 'name' is '{made.name}', a short name without '/' was expected")
     if made.drift > 0.2:
@@ -277,6 +280,26 @@
     return made
 
 
+def _steps(table: Any, where: str) -> dict[str, tuple[tuple[str, ...], tuple[str, ...]]]:
+    """Commands of releases' steps, by name: what runs, and what undoes it."""
+    found = {}
+    for name, line in get(table, "step", dict, {}, where).items():
+        at = f"{where}: step '{name}'"
+        if not isinstance(line, dict):
+            raise ConfigError(f"{at}: a table was expected")
+        for key in line:
+            if key not in ("run", "back"):
+                raise ConfigError(f"{at}: unknown key '{key}'")
+        words = {key: get(line, key, list, default, at) for key, default in (("run", None), ("back", []))
+                 if key in line or default is not None}
+        if not words.get("run"):
+            raise ConfigError(f"{at}: key 'run' is missing or empty, the words of a command were expected")
+        if not all(isinstance(word, str) and word for key in words for word in words[key]):
+            raise ConfigError(f"{at}: a word of a command is no text, or empty")
+        found[name] = tuple(words["run"]), tuple(words["back"])
+    return found
+
+
 def _log(root: Any, what: str) -> Log:
     table, where = get(root, "log", dict, {}, what), f"{what}: log"
     for key in table:
--- a/ashvale/config/declare.py
+++ b/ashvale/config/declare.py
@@ -210,6 +210,13 @@
     building: Annotated[str, text("Where it stands, for budgets that count by building")] = ""
 
 
+class Step(msgspec.Struct, forbid_unknown_fields=True):
+    """What a release's step runs at this courier: words of a command, no shell."""
+
+    run: Annotated[list[str], text("The command of the step")]
+    back: Annotated[list[str], text("The command that undoes it; none: the way back halts here")] = []
+
+
 class Fleet(msgspec.Struct, forbid_unknown_fields=True):
     """Couriers that agree; without this table they do not talk. See docs/fleet.md."""
 
@@ -223,6 +230,8 @@
     every: Annotated[Time, quantity("time", "How often one other is asked whether it is there")] = "500 ms"
     suspect: Annotated[Time, quantity("time", "How long one is suspect before it counts as out")] = "3 s"
     follow: Annotated[Time, quantity("time", "How often one that does not vote asks for news")] = "1 s"
+    version: Annotated[str, text("What it says of itself to a release that expects a version")] = ""
+    step: Annotated[dict[str, Step], Meta(description="Steps of releases, by name")] = {}
 
 
 class Set(msgspec.Struct, forbid_unknown_fields=True):
@@ -276,7 +285,8 @@
         brackets = f"[[{head}]]" if struct is Member else f"[{head}.NAME]"
         lines += _section(brackets, struct)
     for head, struct in (("[[route]]", Route), ("[[listen]]", Listener), ("[courier]", Courier),
-                         ("[trace]", Trace), ("[log]", Log), ("[fleet]", Fleet), ("[[fleet.peer]]", Peer)):
+                         ("[trace]", Trace), ("[log]", Log), ("[fleet]", Fleet), ("[[fleet.peer]]", Peer),
+                         ("[fleet.step.NAME]", Step)):
         lines += _section(head, struct)
     return "\n".join(lines)
 
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -94,7 +94,12 @@
                 banned("fleet", names)
 
             def ready(self) -> bool:
-                return not courier.leaving and courier.exchange.listed
+                # A list that the file names is followed by its changes alone; no whole one may come for long.
+                known = courier.exchange.listed or bool(courier.exchange.instances)
+                return known and not courier.leaving
+
+            def health(self) -> tuple[int, int, int]:
+                return courier.exchange.health
 
             def endpoint(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
                 return courier.exchange.beside(name)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -188,6 +188,7 @@
         self._out: dict[int, Execution] = {}         # by message
         self._events: list[api.Event] = []
         self._due = self.halted = False
+        self.ends = self.given_up = 0  # ends that were decided in this life, and those that are no delivery
         self.tracer: Optional[Tracer] = None
         self.doors: dict[str, Door] = {}  # by front: routes, limits and pools, where a set has any
         self._steer = False  # a partner of a pool has opened or shut
@@ -470,6 +471,11 @@
         ready = {n: zone for n, zone in kin.items() if now[n].ready and n not in self.banned}
         return found.dest, found.zone, kin, ready
 
+    @property
+    def health(self) -> tuple[int, int, int]:
+        """Ends in this life, how many of them were given up, and messages that are owed now."""
+        return self.ends, self.given_up, len(self._owed)
+
     def _told_now(self) -> list[Instance]:
         """The instances that the list names as it stands; the others must not be told anew as if it did."""
         return [i for i in self.instances.values() if not i.gone and i.name not in self._left]
@@ -662,6 +668,7 @@
         if self._owed.pop(entry.number, None) is None and entry.state:
             return
         self._released(entry)
+        self.ends, self.given_up = self.ends + 1, self.given_up + (state != DELIVERED)
         keep_ms = self.fronts[entry.front].keep_ms(entry, state, after_ms)
         keep_until = self.wall(self.loop.now()) + keep_ms if keep_ms > 0 else 0.0
         try:
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from ashvale.fleet import permits as rules
+from ashvale.fleet import releases
 from ashvale.fleet.members import Members, Rhythm, Status, View
 from ashvale.fleet.record import (
     Append,
@@ -42,12 +43,16 @@
     Acquire,
     Ask,
     Back,
+    Begin,
     Command,
     Declare,
+    Onward,
+    Progress,
     Put,
     Release,
     Result,
     State,
+    Steer,
     Unban,
     Unknown,
     encode,
@@ -140,8 +145,16 @@
     at: int
 
 
+class Health(msgspec.Struct, frozen=True, tag="health"):
+    """What this process has seen end since it began, how much of it was given up, and what it owes."""
+
+    ends: int
+    given_up: int
+    owed: int
+
+
 Body = Union[Vote, Voted, Append, Install, Appended, Pull, Pulled, Hello, Welcome, Stale, Ping, Ack, Look,
-             Saw, Propose, Proposed, Renew, Renewed, InForce, Noted]
+             Saw, Propose, Proposed, Renew, Renewed, InForce, Noted, Health]
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -187,6 +200,7 @@
     kept: bool = False
     sends: list[tuple[str, Body]] = field(default_factory=list)
     results: list[tuple[str, Result]] = field(default_factory=list)
+    step: tuple[str, str, str] = ("", "", "")  # a release's step to carry out now: its name, way and release
     changes: list[tuple[str, dict[str, object]]] = field(default_factory=list)  # for the log
 
     @property
@@ -241,6 +255,18 @@
         self.banned_at: dict[str, tuple[int, float]] = {}  # at the leader: bans, and since when it knows
         self.in_force: dict[str, int] = {}  # at the leader: by which bans others act
         self.noted: tuple[str, int] = "", 0
+        # Of a release. Its driver's word: what ended here, how much of it was given up, what is owed; the
+        # version that runs; and, once a step's command has ended, what went wrong ("" for nothing).
+        self.health = Health(0, 0, 0)
+        self.version = ""
+        self.step_ended: str | None = None
+        self.health_at = 0.0
+        # At the leader: what each courier told, by its life, and from where it is compared; since when.
+        self.told: dict[str, tuple[int, Health]] = {}
+        self.base: dict[str, tuple[int, Health]] = {}
+        self.released: frozenset[str] = frozenset()
+        self.began_at: dict[tuple[str, str], float] = {}
+        self.soaks: tuple[str, int, float] = "", 0, 0.0
         self.tell_at = 0.0
         self.buildings = dict(setup.buildings)
         self._begun = False
@@ -270,7 +296,9 @@
         self._fx.sends += [(helper, Look(name)) for helper, name in helps]
         self._readmit(now)
         self._serve_again(now)
+        self._step(now)
         self._grant_next(now)
+        self._drive(now)
         self._requests(now)
         self._renew(now)
         self._tell_bans(now)
@@ -370,6 +398,9 @@
         permit = self.state.permits.get(self.setup.name)
         if permit is None or permit.back or permit.number <= self.kept.back:
             return 0
+        if permit.kind == "release":
+            rollout = self.state.rollout
+            return permit.number if rollout is not None and rollout.at_work(self.setup.name) else 0
         return 0 if permit.kind == "restart" and permit.life < self.kept.incarnation else permit.number
 
     def come_back(self, now: float) -> Effects:
@@ -385,9 +416,8 @@
         if not self.ready or self.out:
             self.ready_since = now
         elif permit is not None and self._begun and now - self.ready_since >= self.state.budget.warm_ms:
-            id = f"back/{self.setup.name}/{self.life}/{permit.number}"
-            if id not in self.requests and len(self.requests) < OPEN_MOST:
-                self.requests[id] = Request(Back(id, self.setup.name, permit.number), now, now)
+            self._ask_for(Back(f"back/{self.setup.name}/{self.life}/{permit.number}", self.setup.name,
+                               permit.number), now)
 
     def outs(self) -> dict[str, str]:
         """Whom this courier cannot confirm as serving, with their buildings: they count as out."""
@@ -437,6 +467,116 @@
                 self._propose(Unban(f"end/{name}/{ban.number}", name, "its end", ban.number), now)
         self.banned_at = {name: at for name, at in self.banned_at.items() if name in self.state.bans}
 
+    # Releases
+
+    def _ask_for(self, command: Command, now: float) -> None:
+        """Have something decided that is asked for again until it is."""
+        if command.id not in self.requests and len(self.requests) < OPEN_MOST:
+            self.requests[command.id] = Request(command, now, now)
+
+    def _progress(self, event: str, why: str, now: float) -> None:
+        rollout, permit = self.state.rollout, self.state.permits.get(self.setup.name)
+        if rollout is not None:
+            way, number = rollout.parts[self.setup.name].way, permit.number if permit is not None else 0
+            self._ask_for(Progress(f"{event}/{self.setup.name}/{self.life}/{way}/{number}", rollout.number,
+                                   self.setup.name, event, self.kept.incarnation, why, number), now)
+
+    def _step(self, now: float) -> None:
+        """This courier's part: begin its step once, in its turn, and say how it ended."""
+        rollout, name = self.state.rollout, self.setup.name
+        part = rollout.parts.get(name) if rollout is not None else None
+        if rollout is None or part is None:
+            self.step_ended = None
+            return
+        if rollout.status == releases.RUNNING and now >= self.health_at and self.record.leader:
+            self.health_at = now + self.setup.rhythm.every
+            if self.record.role is Role.LEADER:
+                self.told[name] = self.kept.incarnation, self.health
+            else:
+                self._fx.sends.append((self.record.leader, self.health))
+        if part.state == releases.WAITS and self.out and self.state.permits[name].kind == "release":
+            self._progress(releases.BEGAN, "", now)
+        elif part.state == releases.BEGAN and part.life == self.kept.incarnation:
+            if self.step_ended:
+                self._progress(releases.FAILED, self.step_ended, now)
+            elif self.step_ended == "" and not rollout.plan.restarts:
+                self._ends_well(rollout, part, now)
+        elif part.state == releases.BEGAN and part.life < self.kept.incarnation:
+            if not rollout.plan.restarts:
+                self._progress(releases.FAILED, "the courier ended during its step", now)
+            elif self.ready and self._begun:
+                self._ends_well(rollout, part, now)
+
+    def _ends_well(self, rollout: releases.Rollout, part: releases.Part, now: float) -> None:
+        """The step has been: done, unless it left another version than it said."""
+        expected = rollout.plan.expect if part.way == releases.OUT else ""
+        if expected and self.version != expected:
+            why = f"it says version '{self.version}', '{expected}' was expected"
+            self._progress(releases.FAILED, why, now)
+        else:
+            self._progress(releases.DONE, "", now)
+
+    def _drive(self, now: float) -> None:
+        """The leader drives the release: permits for the wave, halts, and the next wave."""
+        rollout = self.state.rollout
+        if rollout is None or self.record.role is not Role.LEADER or not self._sees(now):
+            self.soaks = "", 0, 0.0
+            return
+        mark = f"{rollout.number}/{rollout.way}/{rollout.wave}/{self.record.term}"
+        self.began_at = {key: at for key, at in self.began_at.items()
+                         if rollout.parts.get(key[0], releases.Part()).state == releases.BEGAN}
+        for name, part in rollout.parts.items():
+            since = self.began_at.setdefault((name, part.way), now) if part.state == releases.BEGAN else now
+            if now - since > rollout.plan.step_ms:
+                id = f"late/{name}/{mark}/{part.life}"
+                self._propose(Progress(id, rollout.number, name, releases.FAILED, part.life,
+                                       f"not done within {rollout.plan.step_ms / 1000:g} s"), now)
+        if rollout.status != releases.RUNNING:
+            self.soaks = "", 0, 0.0
+            return
+        if why := self._amiss(rollout):
+            self._propose(Steer(f"halt/{mark}/{self.state.applied}", "halt", "the fleet", why, "",
+                                rollout.number), now)
+            return
+        for name in rollout.current:
+            if rollout.parts[name].state == releases.WAITS and name not in self.state.permits:
+                if self.may_go(name, now) is None:
+                    ask = Ask(f"go/{name}/{mark}/{self.state.applied}", name, "release", rollout.who,
+                              f"release {rollout.plan.name}")
+                    self._propose(ask, now)
+        if not rollout.through() or any(name in self.state.permits for name in rollout.current):
+            self.soaks = "", 0, 0.0
+        elif self.soaks[:2] != (rollout.way, rollout.wave):
+            self.soaks = rollout.way, rollout.wave, now
+        elif now - self.soaks[2] >= rollout.plan.soak_ms:
+            self._propose(Onward(f"on/{mark}", rollout.number, rollout.way, rollout.wave), now)
+
+    def _amiss(self, rollout: releases.Rollout) -> str:
+        """At the leader: why a release may not go on as it is; "" where nothing is seen."""
+        if rollout.way == releases.BACK:
+            return ""  # the way back goes on: what is there is what it leads away from
+        done = frozenset(n for n, p in rollout.parts.items() if p.state == releases.DONE)
+        for name in sorted(done - self.state.permits.keys()):
+            member = self.members.members.get(name)
+            life = member.view.incarnation if member is not None else self.kept.incarnation
+            if member is not None and member.status is not Status.SERVING:
+                return f"{name}, released, is {member.status.name.lower()}"
+            if life > rollout.parts[name].life:
+                return f"{name}, released, has begun anew"
+        here = {name: told for name, told in self.told.items()
+                if name == self.setup.name or self.members.members[name].status is Status.SERVING}
+        if done != self.released or any(here.get(n, (0,))[0] != life for n, (life, _) in self.base.items()):
+            self.released, self.base = done, dict(here)  # compared over one and the same time from here on
+            return ""
+
+        def since(names: set[str] | frozenset[str]) -> tuple[int, int]:
+            found = [(here[n][1], self.base[n][1]) for n in names if n in here and n in self.base]
+            return (sum(a.ends - b.ends for a, b in found), sum(a.given_up - b.given_up for a, b in found))
+
+        return releases.out_of_band(rollout.plan, since(done), since(here.keys() - done)) or ""
+
+    # Bans
+
     def _tell_bans(self, now: float) -> None:
         """Tell the leader by which bans this courier acts, until it has noted it."""
         leader, at = self.record.leader, self.state.bans_at
@@ -557,6 +697,9 @@
             if self.record.role is Role.LEADER:
                 self.in_force[sender] = body.at
                 self._fx.sends.append((sender, Noted(body.at)))
+        elif isinstance(body, Health):
+            if self.record.role is Role.LEADER:
+                self.told[sender] = self.kept.seen[sender][0], body
         elif isinstance(body, Noted):
             if sender == self.record.leader:
                 self.noted = sender, body.at
@@ -609,6 +752,12 @@
                       who=command.who, why=command.why, despite=command.despite)
         elif isinstance(command, Back) and result.ok:
             self._log("permit ended", courier=command.courier, number=command.number)
+        elif isinstance(command, (Begin, Steer, Progress, Onward)) and result.ok:
+            rollout = self.state.rollout or self.state.past[-1]
+            self._log("release", rollout=rollout.plan.name, status=rollout.status, way=rollout.way,
+                      wave=rollout.wave, note=rollout.note, by=getattr(command, "who", "") or getattr(
+                          command, "courier", ""), what=getattr(command, "event", "") or getattr(
+                              command, "verb", ""))
         if self.state.bans_at == entry.index:
             self.tell_at = 0.0
             self._tell_bans(now)
@@ -645,6 +794,8 @@
             if not self._sees(now):
                 return  # it is asked again; guards against a leave by who has yet to see who is there
             command = self._filled(command, now)
+        elif isinstance(command, Begin):
+            command = msgspec.structs.replace(command, names=(self.setup.name, *self.setup.peers))
         elif isinstance(command, Declare):
             command = msgspec.structs.replace(command, size=len(self.setup.peers) + 1)
         try:
@@ -669,7 +820,7 @@
         if command.id != m.id:
             return
         # Only the courier itself says that it serves again, and only a leader grants.
-        if (isinstance(command, Back) and command.courier != sender
+        if (isinstance(command, (Back, Progress)) and command.courier != sender
                 or isinstance(command, Ask) and command.grant):
             self._fx.sends.append((sender, Proposed(m.id, Result(False, 0, "not for this courier to say"))))
             return
@@ -686,6 +837,11 @@
             # Counted from before it was asked for: the leader counts from later.
             until = request.began + command.ttl * (1.0 - self.setup.timing.drift)
             self.leases[command.lease] = Held(result.number, command.ttl, until, now + command.ttl / 3)
+        if isinstance(command, Progress) and command.event == releases.BEGAN and result.ok:
+            rollout = self.state.rollout  # once, by whoever asked in this very life; the word may come before
+            if rollout is not None:       # the entry itself does, which says no more than this
+                self.step_ended = None
+                self._fx.step = (rollout.plan.step, rollout.parts[self.setup.name].way, rollout.plan.name)
         self._fx.results.append((id, result))
 
     # Leases
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -14,6 +14,7 @@
 
 import logging
 import os
+import subprocess
 import time
 from collections import deque
 from collections.abc import Callable
@@ -25,11 +26,24 @@
 import msgspec
 import xxhash
 
-from ashvale.fleet.agent import Agent, Effects, Envelope, Setup
+from ashvale.fleet.agent import Agent, Effects, Envelope, Health, Setup
 from ashvale.fleet.members import Rhythm, Status
 from ashvale.fleet.permits import REASON_MOST, Budget
 from ashvale.fleet.record import Role, Timing
-from ashvale.fleet.state import Ask, Call, Command, Declare, Forget, Maint, Put, Result, Unban
+from ashvale.fleet.releases import BACK, Plan, faults
+from ashvale.fleet.state import (
+    Ask,
+    Begin,
+    Call,
+    Command,
+    Declare,
+    Forget,
+    Maint,
+    Put,
+    Result,
+    Steer,
+    Unban,
+)
 from ashvale.fleet.store import Spoilt, Store
 from ashvale.loop import Broken, Connection, Coroutine, Expired, Listener, Loop, Signal, Task, Timer, lasting
 from ashvale.net.aside import aside
@@ -48,7 +62,8 @@
 LOG_MOST = 200              # entries in one answer
 DOOR_MS = 900.0             # a caller at the operator's door waits a second
 ASK_AGAIN_MS = 5000.0       # when to come back after a no for which nothing better is known
-_ORDERS = ("put", "drain", "ready", "forget", "budget", "ban", "unban")
+STEP_LOOK_MS = 100.0        # how often the command of a step is looked after
+_ORDERS = ("put", "drain", "ready", "forget", "budget", "ban", "unban", "release", "steer")
 _REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
             409: "Conflict", 413: "Too Large", 503: "Service Unavailable"}
 _encode = msgspec.msgpack.Encoder().encode
@@ -88,6 +103,8 @@
     endpoint: str = ""
     ends_ms: float = 0.0
     budget: Optional[Budget] = None
+    plan: Optional[Plan] = None
+    verb: str = ""
     key: str = ""
     data: str = ""
     expect: int = -1
@@ -106,6 +123,10 @@
         """Whether it takes messages and knows where to send them, but for a drain."""
         return True
 
+    def health(self) -> tuple[int, int, int]:
+        """Ends in this life, how many of them were given up, and what is owed."""
+        return 0, 0, 0
+
     def endpoint(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
         """An endpoint's partner and building, and of that partner all listed and the ready ones with their
         buildings; None where it was never listed."""
@@ -224,6 +245,7 @@
             agent, store = self.agent, self.store
             assert store is not None
             agent.minute, agent.ready = int(time.time()) // 60 % 1440, self.service.ready()
+            agent.health, agent.version = Health(*self.service.health()), self.told.version
             fx = self._inputs.popleft()(agent)
             if not fx.saves:
                 self._carry_out(agent, fx)
@@ -260,6 +282,8 @@
             self.service.ban(frozenset(agent.state.bans))
         for event, fields in fx.changes:
             log.info(event, extra=fields)
+        if fx.step[0]:
+            self._run_step(agent, *fx.step)
         for name, body in fx.sends:
             if (peer := self.peers.get(name)) is not None:
                 peer.add(pack(self.told.name, agent.envelope(name, body)))
@@ -327,6 +351,8 @@
             "permits": {name: msgspec.to_builtins(permit) for name, permit in sorted(state.permits.items())},
             "queue": [msgspec.to_builtins(waiting) for waiting in state.queue],
             "counted_out": sorted({*agent.outs(), *state.permits}),
+            "release": msgspec.to_builtins(state.rollout), "past": msgspec.to_builtins(state.past),
+            "version": self.told.version,
             "bans": {name: msgspec.to_builtins(ban) | ({
                 "confirmed": sorted(n for n in names if known.get(n, 0) >= ban.number),
                 "missing": sorted(n for n in names if known.get(n, 0) < ban.number)} if leads else {})
@@ -436,6 +462,13 @@
             command = self._command(what, order)
         except (msgspec.MsgspecError, ValueError) as error:
             return 400, str(error)[:200].encode()
+        if order.dry and isinstance(command, Begin) and self.agent is not None:
+            names = {self.told.courier, *self.setup.peers}
+            wrong = faults(command.plan, names, self.agent.state.budget)
+            if (now := self.agent.state.rollout) is not None:
+                wrong.append(f"release '{now.plan.name}' is under way")
+            dry = Result(not wrong, 0, "; ".join(wrong))
+            return (409 if wrong else 200), msgspec.json.encode(dry)
         if order.dry and isinstance(command, Ask) and self.agent is not None:
             no = self.agent.may_go(command.courier, self.loop.now())
             dry = Result(no is None, 0, no.why if no else "", no.after_ms if no else 0.0)
@@ -449,13 +482,13 @@
         """What an order comes to. Raises `ValueError`, by the faulty key."""
         names = [self.told.courier, *self.setup.peers]
         courier = order.courier or self.told.courier
-        if order.dry and what != "drain":  # guards a rehearsal against being carried out
-            raise ValueError("'dry' is for drains alone")
+        if order.dry and what not in ("drain", "release"):  # guards a rehearsal against being carried out
+            raise ValueError("'dry' is for drains and releases alone")
         if what == "put":
             if not order.key:
                 raise ValueError("'key' is missing")
             return Put(self.id(), order.key, order.data, order.expect, order.who)
-        for key in ("who", "why") if what in ("drain", "ban", "budget", "forget") else ("who",):
+        for key in ("who", "why") if what in ("drain", "ban", "budget", "forget", "release") else ("who",):
             if not (text := str(getattr(order, key))).strip() or len(text) > REASON_MOST:
                 raise ValueError(f"'{key}' is missing, or longer than {REASON_MOST} characters")
         if len(order.despite) > REASON_MOST:
@@ -471,6 +504,14 @@
             return Call(self.id(), courier, order.who)
         if what == "forget":
             return Forget(self.id(), courier, order.who, order.why)
+        if what == "release":
+            if order.plan is None:
+                raise ValueError("'plan' is missing")
+            return Begin(self.id(), order.plan, order.who, order.why)
+        if what == "steer":
+            if order.verb not in ("halt", "resume", "back", "skip", "abandon"):
+                raise ValueError(f"'verb' is '{order.verb[:40]}', which is no order to a release")
+            return Steer(self.id(), order.verb, order.who, order.why, order.courier)
         if what == "unban":
             return Unban(self.id(), order.endpoint, order.who)
         if what == "budget":
@@ -502,6 +543,33 @@
                 pass
         return found[0]
 
+    # Steps of releases
+
+    def _run_step(self, agent: Agent, step: str, way: str, release: str) -> None:
+        """Run the operator's own command, in a session of its own: it may end this very process."""
+        run, back = self.told.steps.get(step, ((), ()))
+        words = back if way == BACK else run
+        log.info("step begins", extra={"step": step, "way": way, "release": release})
+        if not words:
+            agent.step_ended = f"no command for step '{step}', {way}, in the file of {self.told.courier}"
+            return
+        try:
+            process = subprocess.Popen(words, stdin=subprocess.DEVNULL, start_new_session=True, env={
+                **os.environ, "ASHVALE_STEP": step, "ASHVALE_WAY": way, "ASHVALE_RELEASE": release,
+                "ASHVALE_PID": str(os.getpid())})
+        except OSError as error:
+            agent.step_ended = f"step '{step}' cannot be run: {error}"
+            return
+
+        def look() -> None:
+            if (code := process.poll()) is None:
+                self.loop.call_at(self.loop.now() + STEP_LOOK_MS, look)
+                return
+            log.info("step ended", extra={"step": step, "way": way, "code": code})
+            agent.step_ended = f"step '{step}' ended with {code}" if code else ""
+
+        look()
+
     # This courier in and out of service
 
     def come_back(self) -> None:
--- a/ashvale/fleet/permits.py
+++ b/ashvale/fleet/permits.py
@@ -15,7 +15,7 @@
 PERMITS_MOST, QUEUE_MOST, BANS_MOST = 1024, 512, 1024
 REASON_MOST = 400      # characters of a reason or a name
 AGAIN_MS = 5000.0      # when to come back, where nothing better is known
-KINDS = ("drain", "restart")
+KINDS = ("drain", "restart", "release")
 
 
 class Budget(msgspec.Struct, frozen=True):
--- a/ashvale/fleet/state.py
+++ b/ashvale/fleet/state.py
@@ -12,7 +12,9 @@
 import msgspec
 
 from ashvale.fleet import permits as rules
+from ashvale.fleet import releases
 from ashvale.fleet.permits import Ban, Budget, No, Permit, Waiting
+from ashvale.fleet.releases import Plan, Rollout
 
 LEASES_MOST, KEYS_MOST, VALUE_MOST = 4096, 16384, 32 * 1024
 DONE_MOST = 2048  # results kept to answer a command that comes once more
@@ -44,6 +46,8 @@
 
 
 class Release(msgspec.Struct, frozen=True, tag="release"):
+    """A lease is let go of."""
+
     id: str
     lease: str
     holder: str
@@ -142,7 +146,50 @@
     number: int = 0
 
 
-Command = Union[Acquire, Release, Put, Declare, Ask, Call, Back, Forget, Maint, Unban]
+class Begin(msgspec.Struct, frozen=True, tag="begin"):
+    """A release begins; `names` is the leader's word for who is of the fleet."""
+
+    id: str
+    plan: Plan
+    who: str
+    why: str
+    names: tuple[str, ...] = ()
+
+
+class Steer(msgspec.Struct, frozen=True, tag="steer"):
+    """An order to the release under way; `number` is the release's, or 0 for whichever there is."""
+
+    id: str
+    verb: str
+    who: str
+    why: str = ""
+    courier: str = ""
+    number: int = 0
+
+
+class Progress(msgspec.Struct, frozen=True, tag="progress"):
+    """How a courier's step goes; `permit` is the number by which it is out."""
+
+    id: str
+    release: int
+    courier: str
+    event: str
+    life: int = 0
+    why: str = ""
+    permit: int = 0
+
+
+class Onward(msgspec.Struct, frozen=True, tag="onward"):
+    """The leader: that wave is through, and has soaked."""
+
+    id: str
+    release: int
+    way: str
+    wave: int
+
+
+Command = Union[Acquire, Release, Put, Declare, Ask, Call, Back, Forget, Maint, Unban, Begin, Steer,
+                Progress, Onward]
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -164,6 +211,8 @@
     queue: list[Waiting] = []
     bans: dict[str, Ban] = {}
     bans_at: int = 0  # where the bans last changed
+    rollout: Optional[Rollout] = None
+    past: list[Rollout] = []
 
 
 _commands = msgspec.json.Decoder(Command)
@@ -207,6 +256,15 @@
     def bans(self) -> dict[str, Ban]:
         return self._kept.bans
 
+    @property
+    def rollout(self) -> Optional[Rollout]:
+        """The release under way, or None."""
+        return self._kept.rollout
+
+    @property
+    def past(self) -> list[Rollout]:
+        return self._kept.past
+
     @property
     def bans_at(self) -> int:
         return self._kept.bans_at
@@ -245,6 +303,8 @@
             return self._permit(index, command)
         if isinstance(command, (Maint, Unban)):
             return self._ban(index, command)
+        if isinstance(command, (Begin, Steer, Progress, Onward)):
+            return self._release(index, command)
         held = self.leases.get(command.lease)
         if isinstance(command, Release):
             if held is None or (held.holder, held.number) != (command.holder, command.number):
@@ -277,6 +337,9 @@
             kept.queue = [w for w in kept.queue if w.courier != m.courier]
             kept.permits[m.courier] = Permit(index, m.kind, m.who, m.why, m.building, m.life,
                                              False, m.despite)
+            if m.despite and kept.rollout is not None and kept.rollout.status == releases.RUNNING:
+                why = f"{m.courier} went despite the budget: {m.despite}"
+                self._stands(releases.halted(kept.rollout, why))
             return Result(True, index)
         if m.wait and place is None:
             if len(kept.queue) >= rules.QUEUE_MOST:
@@ -312,6 +375,52 @@
             return Result(False, 0, "neither out nor waiting")
         return Result(True, index)
 
+    def _release(self, index: int, m: Begin | Steer | Progress | Onward) -> Result:
+        kept, found = self._kept, self.rollout
+        if isinstance(m, Begin):
+            if found is not None:
+                return Result(False, found.number, f"release '{found.plan.name}' is under way")
+            if not m.why.strip() or not m.who.strip():
+                return Result(False, 0, "a reason and a name are needed")
+            if faults := releases.faults(m.plan, set(m.names), kept.budget):
+                return Result(False, 0, "; ".join(faults))
+            kept.rollout = releases.begin(index, m.plan, m.who, m.why)
+            return Result(True, index)
+        number = m.number if isinstance(m, Steer) else m.release
+        if found is None or number not in (0, found.number):
+            return Result(False, 0, "no such release is under way")
+        if isinstance(m, Steer):
+            after = releases.steer(found, m.verb, m.courier, m.why)
+        elif isinstance(m, Onward):
+            after = releases.onward(found, m.wave) if m.way == found.way else "it goes another way"
+        else:
+            permit = kept.permits.get(m.courier)
+            by = permit is not None and permit.kind == "release" and permit.number == m.permit
+            after = releases.progress(found, m.courier, m.event, m.life, m.why,
+                                      by and permit is not None and not permit.back)
+        if isinstance(after, str):
+            return Result(False, found.number, after)
+        self._stands(after)
+        return Result(True, index)
+
+    def _stands(self, release: Rollout) -> None:
+        """The release stands so now.
+
+        Whoever has no work in it any more, or other work than that for which it went, is called back, once
+        and for all: for more it needs another permit. Guards against one that goes out again by a permit
+        while its word that it is back is under way.
+        """
+        kept, before = self._kept, self._kept.rollout
+        for name, permit in kept.permits.items():
+            part = release.parts.get(name)
+            same = part is not None and (
+                part.state == releases.BEGAN or before is not None and before.parts.get(name) == part)
+            if permit.kind == "release" and not (same and release.at_work(name)):
+                kept.permits[name] = msgspec.structs.replace(permit, back=True)
+        kept.rollout = release
+        if release.status == releases.OVER:
+            kept.rollout, kept.past = None, [*kept.past, release][-releases.PAST_MOST:]
+
     def _ban(self, index: int, m: Maint | Unban) -> Result:
         kept, known = self._kept, self.bans.get(m.endpoint)
         if isinstance(m, Unban):
--- a/ashvale/lab/fleet.py
+++ b/ashvale/lab/fleet.py
@@ -18,7 +18,7 @@
 
 from ashvale.fleet.agent import Agent, Effects, Envelope, Kept, Setup
 from ashvale.fleet.members import Rhythm
-from ashvale.fleet.permits import KINDS, Budget
+from ashvale.fleet.permits import Budget
 from ashvale.fleet.record import Role, Saved, Timing
 from ashvale.fleet.state import Acquire, Ask, Call, Command, Declare, Put, Release, Result
 
@@ -252,8 +252,9 @@
             at = self.draw.choice((4000.0, 9000.0, self.draw.uniform(1500.0, self.span)))
             name, by = self.draw.choice(names), self.draw.choice(names)
             if self.draw.random() < 0.55:
-                self._order(at, by, Ask(f"{by}-go-{number}", name, self.draw.choice(KINDS), by, "drawn",
-                                        self.draw.random() < 0.5))
+                kind = self.draw.choice(("drain", "restart"))
+                wait = self.draw.random() < 0.5
+                self._order(at, by, Ask(f"{by}-go-{number}", name, kind, by, "drawn", wait))
             else:
                 self._order(at, by, Call(f"{by}-back-{number}", name, by))
         if len(names) > 2 and self.draw.random() < 0.4:
--- a/ashvale/lab/rig.py
+++ b/ashvale/lab/rig.py
@@ -22,7 +22,7 @@
 from ashvale.lab.judge import Edges
 from ashvale.lab.relay import Relay
 from ashvale.lab.stands import HERE, LONG_MS, Discovery, Endpoint, request, run, settings
-from ashvale.loop import Broken, Coroutine, Expired, Loop, connect, sleep
+from ashvale.loop import Broken, Coroutine, Expired, Loop, Task, connect, sleep
 
 NAME = "west"
 TIMES = 'election = "400 ms"\nbeat = "80 ms"\nevery = "150 ms"\nsuspect = "800 ms"\nfollow = "200 ms"\n'
@@ -45,7 +45,7 @@
 class Rig:
     """`count` couriers in `folder`, of which `voters` vote."""
 
-    def __init__(self, folder: Path, count: int, voters: int) -> None:
+    def __init__(self, folder: Path, count: int, voters: int, steps: str = "") -> None:
         self.root, self.loop = folder, Loop()
         self.discovery = Discovery(self.loop)
         self.edges = Edges()
@@ -59,7 +59,10 @@
         self.voters = self.names[:voters]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.left: list[subprocess.Popen[bytes]] = []
+        self.tasks: list[Task] = []
         self.clients: dict[str, int] = {}
+        self.versions: dict[str, str] = {}  # what couriers say of themselves, from their next start on
+        self.steps = steps  # of releases, as they stand in each courier's own file
         self.sent: dict[str, bytes] = {}  # messages handed in, and how they were answered
         for name in self.names:
             self.start(name)
@@ -76,7 +79,9 @@
             f'building = "{"ab"[int(other[1:]) % 2]}"\naddress = '
             f'"{HERE}:{self.ports[name] if other == name else self.links[name, other].address[1]}"\n'
             for other in self.names)
-        (folder / "own.toml").write_text(f'[fleet]\nname = "{NAME}"\ncourier = "{name}"\n{TIMES}{peers}')
+        (folder / "own.toml").write_text(
+            f'[fleet]\nname = "{NAME}"\ncourier = "{name}"\nversion = "{self.versions.get(name, "1")}"\n'
+            f'{TIMES}{peers}{self.steps}')
         (folder / "config.json").write_text(json.dumps({
             "settings": settings({}), "known": self.discovery.whole()}))
         if name in self.processes:
@@ -173,10 +178,11 @@
         """An order at a courier, as `ashvale fleet` gives it."""
         return self.call(name, "POST", what, json.dumps({"who": "rig", "why": "rehearsal"} | order))
 
-    def task_order(self, name: str, what: str, **order: Any) -> Coroutine[None]:
+    def order_unheard(self, name: str, what: str, **order: Any) -> None:
         """The same for nobody who waits for the answer."""
         body = json.dumps({"who": "rig", "why": "rehearsal"} | order).encode()
-        yield from self._exchange(self.ports[name], _call("POST", what, body))
+        steps = self._exchange(self.ports[name], _call("POST", what, body))
+        self.tasks.append(self.loop.spawn(steps, f"order at {name}"))
 
     def rest(self, ms: float) -> None:
         run(self.loop, sleep(self.loop, ms))
@@ -250,6 +256,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        for task in self.tasks:
+            task.cancel()
         for link in self.links.values():
             link.close()
         for listener in (self.discovery.listener, self.endpoint.listener, self.second.listener):
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -21,9 +21,9 @@
 
 
 @contextmanager
-def fleet(count: int, voters: int) -> Iterator[Rig]:
+def fleet(count: int, voters: int, steps: str = "") -> Iterator[Rig]:
     with tempfile.TemporaryDirectory() as folder:
-        made = Rig(Path(folder), count, voters)
+        made = Rig(Path(folder), count, voters, steps)
         try:
             yield made
             assert not made.judge()
--- a/tests/test_permit_processes.py
+++ b/tests/test_permit_processes.py
@@ -81,7 +81,7 @@
         f.until(lambda: not holders(f, leader) and not f.away())
         f.links[leader, asks].cut(SILENT)  # it hears nothing of what is decided
         f.links[other, asks].cut(SILENT)
-        f.loop.spawn(f.task_order(asks, "drain"), "order")
+        f.order_unheard(asks, "drain")
         f.until(lambda: holders(f, other) == [asks], "the grant")
         assert not f.away()
         f.kill(leader)
--- /dev/null
+++ b/tests/test_releases.py
@@ -0,0 +1,224 @@
+"""Releases: the rules by tables, and real couriers that release themselves, halt and go back.
+
+A step's command writes a line to a file of the test's and, where it is to restart its courier, ends it; the
+test starts it again, as a supervisor would. Every wait is for an event that is seen.
+"""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from ashvale.fleet import releases as rules
+from ashvale.fleet.permits import Budget
+from ashvale.fleet.releases import BACK, BEGAN, DONE, FAILED, LEFT, OVER, RUNNING, WAITS, Part, Plan, Rollout
+from ashvale.lab.relay import SILENT
+from ashvale.lab.rig import Rig
+from tests.test_fleet_processes import fleet
+from tests.test_permit_processes import settled
+
+PLAN = Plan("new", "up", (("c0",), ("c1", "c2")))
+
+
+@pytest.mark.parametrize(("changes", "told"), [
+    ({}, ""),
+    ({"waves": ()}, "'waves': 0 waves; 1 to 200 were expected"),
+    ({"waves": (("c0",), ())}, "'waves': wave 2 is empty"),
+    ({"waves": (("c0", "c9"),)}, "'waves': wave 1, place 2: no courier is called 'c9'"),
+    ({"waves": (("c0",), ("c1", "c0"))}, "'waves': wave 2, place 2: 'c0' is at wave 1, place 1 already"),
+    ({"waves": (("c0", "c1", "c2"),)}, "'waves': wave 1 has 3, the budget lets 2 go at once"),
+    ({"step": " "}, "'step': a short name was expected"),
+    ({"soak_ms": -1.0}, "'soak_ms': -1 is not from 0 to a day"),
+    ({"band": 0.0}, "'band': 0 is not between 0 and 1"),
+    ({"least": 0}, "'least': 0 is not from 1 to 1,000,000")])
+def test_a_plan_is_refused_by_name_and_position(changes: dict[str, object], told: str) -> None:
+    plan = msgspec.structs.replace(PLAN, **changes)
+    assert "; ".join(rules.faults(plan, {"c0", "c1", "c2", "c3"}, Budget(out="2"))) == told
+
+
+def test_a_release_goes_by_its_waves_and_each_step_begins_once() -> None:
+    r: Rollout | str = rules.begin(7, PLAN, "op", "why")
+
+    def go(courier: str, event: str, permitted: bool = True, life: int = 1) -> None:
+        nonlocal r
+        assert isinstance(r, Rollout)
+        r = rules.progress(r, courier, event, life, "it broke", permitted)
+        assert isinstance(r, Rollout), r
+
+    assert isinstance(r, Rollout) and r.at_work("c0") and not r.at_work("c1")
+    assert rules.progress(r, "c0", BEGAN, 1, "", False) == "not its turn"  # without a permit
+    assert rules.progress(r, "c1", BEGAN, 1, "", True) == "not its turn"  # of a later wave
+    go("c0", BEGAN)
+    assert rules.progress(r, "c0", BEGAN, 2, "", True) == "not its turn"  # twice
+    assert isinstance(rules.onward(r, 0), str)
+    go("c0", DONE, life=2)
+    assert rules.progress(r, "c0", DONE, 2, "", True) == "no step has begun"
+    r = rules.onward(r, 0)
+    assert isinstance(r, Rollout) and r.wave == 1 and isinstance(rules.onward(r, 0), str)
+    go("c1", BEGAN)
+    go("c2", BEGAN)
+    go("c1", FAILED)
+    assert r.status == "halted" and r.note == "c1: it broke" and r.at_work("c2")  # what has begun ends
+    back = rules.steer(r, "back", "", "")
+    assert isinstance(back, Rollout) and back.way == BACK and back.current == ("c1", "c2")
+    assert [back.parts[n].state for n in ("c0", "c1", "c2")] == [WAITS, WAITS, BEGAN]
+    r = back
+    go("c2", DONE)  # its step out has ended: it has to go back as well
+    assert r.parts["c2"] == Part(WAITS, BACK, 1, "it broke") and rules.steer(r, "back", "", "") == (
+        "it goes back already")
+    for name in ("c1", "c2"):
+        go(name, BEGAN)
+        go(name, DONE)
+    r = rules.onward(r, 0)
+    assert isinstance(r, Rollout)
+    r = rules.steer(r, "skip", "c0", "")
+    assert isinstance(r, Rollout) and r.parts["c0"].state == LEFT
+    r = rules.onward(r, 1)
+    assert isinstance(r, Rollout) and r.status == OVER and r.note == "all went back"
+    assert rules.steer(r, "halt", "", "") == "no release is under way"
+    first = rules.steer(rules.begin(8, PLAN, "op", "why"), "back", "", "")
+    assert isinstance(first, Rollout) and {p.state for p in first.parts.values()} == {LEFT}  # nobody touched
+
+
+def test_the_band_sees_a_bad_one_of_forty_and_no_slow_spell() -> None:
+    """1,000 healthy releases under noise: none halts; a share of 5 % given up at one of forty is seen."""
+    draw, plan = random.Random(5), Plan("n", "s", (("c0",),), band=0.02)
+
+    def ends(n: int, share: float) -> tuple[int, int]:
+        return n, sum(draw.random() < share for _ in range(n))
+
+    for _ in range(1000):
+        spell = draw.choice((0.0, 0.02, 0.3))  # everywhere at one time
+        assert rules.out_of_band(plan, ends(60, spell), ends(600, spell)) is None
+    assert rules.out_of_band(plan, (200, 30), (7800, 156)) is not None
+    assert rules.out_of_band(plan, (20, 20), (7800, 0)) is None  # too few to say
+    assert rules.out_of_band(plan, (200, 4), (7800, 156)) is None
+
+
+STEPS = '''
+[fleet.step.restart]
+run = ["sh", "-c", "echo out $ASHVALE_PID >> {log}; kill -9 $ASHVALE_PID"]
+back = ["sh", "-c", "echo back $ASHVALE_PID >> {log}; kill -9 $ASHVALE_PID"]
+[fleet.step.note]
+run = ["sh", "-c", "echo out $ASHVALE_PID >> {log}"]
+back = ["sh", "-c", "echo back $ASHVALE_PID >> {log}"]
+[fleet.step.fails]
+run = ["sh", "-c", "exit 3"]
+[fleet.step.hangs]
+run = ["sh", "-c", "sleep 60"]
+[fleet.step.nothing]
+run = ["true"]
+'''
+
+
+def plan(step: str, *waves: list[str], **more: object) -> dict[str, object]:
+    return {"name": f"try {step}", "step": step, "waves": waves, "soak_ms": 300.0, **more}
+
+
+def rollout(f: Rig, name: str) -> dict[str, object]:
+    return f.status(name).get("release") or {}
+
+
+def last(f: Rig, name: str) -> dict[str, object]:
+    past = f.status(name).get("past") or [{}]
+    return past[-1]
+
+
+def supervise(f: Rig, done: object, most: int = 1) -> None:
+    """Start again whoever ended, as a supervisor does, until something has come to be."""
+    def step() -> bool:
+        for name in f.names:
+            if f.processes[name].poll() is not None:
+                f.start(name)
+        assert len(f.away()) <= most
+        return bool(done())  # type: ignore[operator]
+    f.until(step, "the end of a release")
+
+
+def test_a_release_goes_on_though_its_driver_restarts_and_goes_back_by_the_same_waves(tmp_path: Path) -> None:
+    log = tmp_path / "steps"
+    log.touch()
+    with fleet(3, 3, STEPS.format(log=log)) as f:
+        leader = settled(f)
+        order = [leader, *(n for n in f.names if n != leader)]  # whoever drives it goes first
+        waves = [[name] for name in order]
+        for wave, why in ((["c0", "c0"], "is at wave 1, place 1"), (["c7"], "'c7'")):
+            status, told = f.order("c0", "release", plan=plan("restart", wave))
+            assert status == 409 and why in told["why"]
+        assert f.order("c1", "release", plan=plan("restart", *waves), dry=True)[0] == 200
+        assert not rollout(f, "c1")
+        f.until(lambda: f.order("c1", "release", plan=plan("restart", *waves))[0] == 200)
+        assert f.order("c2", "release", plan=plan("note", ["c0"]))[0] == 409  # one at a time
+        ids = [f.hand_in(name) for name in f.names]
+        supervise(f, lambda: len(log.read_text().splitlines()) == 2)
+        second = order[1]
+        f.until(lambda: f.order(order[2], "steer", verb="halt")[0] == 200, "a halt")
+        supervise(f, lambda: rollout(f, order[2]).get("status") == "halted" and all(
+            part["state"] in (DONE, WAITS) for part in rollout(f, order[2])["parts"].values()))  # type: ignore
+        f.until(lambda: f.order(order[2], "steer", verb="back")[0] == 200, "the way back")
+        supervise(f, lambda: last(f, order[2]).get("note") == "all went back")
+        told = [line.split()[0] for line in log.read_text().splitlines()]
+        assert told == ["out", "out", "back", "back"] and second != leader
+        supervise(f, lambda: all(f.delivered(id) == 1 for id in ids))
+        f.until(lambda: f.order("c0", "release", plan=plan("note", *waves, restarts=False))[0] == 200)
+        supervise(f, lambda: last(f, "c0").get("note") == "done")
+        assert len(log.read_text().splitlines()) == 7 and not f.away()
+
+
+@pytest.mark.parametrize(("step", "more", "why"), [
+    ("fails", {}, "ended with 3"), ("hangs", {"step_ms": 1500.0}, "not done within 1.5 s"),
+    ("unknown", {}, "no command for step 'unknown'"),
+    ("nothing", {"restarts": False, "expect": "2"}, "it says version '1', '2' was expected")])
+def test_a_step_that_fails_hangs_or_did_nothing_halts_it(step: str, more: dict[str, object], why: str,
+                                                         tmp_path: Path) -> None:
+    with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
+        settled(f)
+        told = plan(step, ["c1"], ["c2"], **more)
+        f.until(lambda: f.order("c0", "release", plan=told)[0] == 200, "a release")
+        f.until(lambda: rollout(f, "c2").get("status") == "halted", "a halt")
+        assert why in str(rollout(f, "c2")["note"])
+        f.until(lambda: not f.away() and not f.status("c0")["permits"], "it serves again")
+        assert f.order("c2", "steer", verb="skip", courier="c1")[0] == 200
+        assert f.order("c2", "steer", verb="abandon", why="enough")[0] == 200
+        f.until(lambda: last(f, "c2").get("note") == "abandoned: enough")
+
+
+def test_a_released_courier_that_dies_halts_it_and_a_split_decides_on_one_side(tmp_path: Path) -> None:
+    with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
+        leader = settled(f)
+        one, other = (n for n in f.names if n != leader)
+        told = plan("note", [one], [other], restarts=False, soak_ms=60_000.0)
+        f.until(lambda: f.order(leader, "release", plan=told)[0] == 200)
+        f.until(lambda: rollout(f, leader)["parts"][one]["state"] == DONE)  # type: ignore[index]
+        f.until(lambda: not f.status(leader)["permits"])
+        f.kill(one)
+        f.until(lambda: rollout(f, leader).get("status") == "halted", "a halt")
+        assert f"{one}, released, is" in str(rollout(f, leader)["note"])
+        f.start(one)
+        settled(f)
+        assert f.order(other, "steer", verb="skip", courier=one)[0] == 200
+        assert f.order(other, "steer", verb="resume")[0] == 200
+        f.cut_off(one, SILENT)
+        f.until(lambda: f.views(f.leader([leader, other])).get(one) == "out")
+        f.order_unheard(one, "steer", verb="back")  # in the minority
+        f.until(lambda: f.order(leader, "steer", verb="halt", why="by hand")[0] == 200, "a halt")
+        f.heal()
+        f.until(lambda: all(rollout(f, n).get("note") == "by hand" or rollout(f, n).get("way") == BACK
+                            for n in f.names), "one view")
+        assert f.order(one, "steer", verb="abandon", why="x")[0] == 200
+
+
+def test_an_override_halts_it(tmp_path: Path) -> None:
+    with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
+        leader = settled(f)
+        one, other = (n for n in f.names if n != leader)
+        told = plan("note", [one], restarts=False, soak_ms=60_000.0)
+        f.until(lambda: f.order(leader, "release", plan=told)[0] == 200)
+        f.until(lambda: rollout(f, leader)["parts"][one]["state"] == DONE)  # type: ignore[index]
+        assert rollout(f, leader)["status"] == RUNNING
+        assert f.order(other, "drain", despite="smoke")[0] == 200
+        f.until(lambda: rollout(f, leader)["status"] == "halted")
+        assert "despite the budget: smoke" in str(rollout(f, leader)["note"])
