Answer whoever waits for a decision when a disk fails; let links end at a byte

Cause, seen on the rig with a full disk (RLIMIT_FSIZE 0): a leader whose save fails takes no part any more, and an order that it had just taken was never answered (20 s until the caller gave up). Node.request promises one answer in time; nothing told the open ones when Node.why or Agent.stopped was set, nor while another process had the name. Ruled out: the door for clients, which refused within 2 ms.

The relays can hold bytes back by a drawn time, pass a few at a time, lose what the target says, and reset at a byte.

--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -285,6 +285,8 @@
                 self.aside_until = now + 2 * self.setup.rhythm.suspect
                 self._fx.sends += [(v, Hello()) for v in self.record.voters if v != self.setup.name]
             self.members.stalled(now)
+            for id in list(self.requests):  # guards callers against waiting as long as this process is aside
+                self._result(id, Result(False, 0, "unknown: another process has this name"), now)
             return self._done(now)
         if (late := self.members.stalled(now)) > self.setup.timing.election:
             self._woke(late, now)
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -269,6 +269,7 @@
             elif isinstance(outcome, Exception):
                 self.why = f"not saved: {outcome}"
                 log.error("takes no part in the fleet any more", extra={"why": self.why})
+                self._unanswered(self.why)
             else:
                 self._carry_out(agent, fx)
                 self._pump()
@@ -286,6 +287,8 @@
             self.service.ban(frozenset(agent.state.bans))
         for event, fields in fx.changes:
             log.info(event, extra=fields)
+        if agent.stopped:
+            self._unanswered(agent.stopped)
         if fx.step[0]:
             self._run_step(agent, *fx.step)
         for name, body in fx.sends:
@@ -311,6 +314,12 @@
         if not self._input(lambda agent: agent.request(command, self.loop.now())):
             self._answers.pop(command.id)(Result(False, 0, self.why or "too much under way"))
 
+    def _unanswered(self, why: str) -> None:
+        """Whoever waits is told that it is not known: guards callers against a record that has ended here."""
+        answers, self._answers = self._answers, {}
+        for answer in answers.values():
+            answer(Result(False, 0, f"unknown: {why}"))
+
     def holds(self, lease: str) -> int:
         """The number of a lease that may be used right now, or 0."""
         return self.agent.holds(lease, self.loop.now()) if self.agent is not None and not self.why else 0
--- a/ashvale/lab/relay.py
+++ b/ashvale/lab/relay.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from ashvale.lab.stands import HERE
 from ashvale.loop import (
     FOREVER,
@@ -22,14 +24,22 @@
 
 PASS, SILENT, RESET = "pass", "silent", "reset"
 CONNECT_MS = 1000.0
+TRICKLE_MS = 5.0
 
 
 class Relay:
-    """Passes on what comes to `address`; `mode` and `delay_ms` hold from the next byte on."""
+    """Passes on what comes to `address`; what is set here holds from the next byte on.
+
+    `delay_ms` and up to `jitter_ms` more, drawn for each piece, hold bytes back; `trickle` passes so many
+    at a time, TRICKLE_MS apart (0: all); `half_open` loses what the target says, passes what comes to it;
+    `cut_at` resets the link once so many more bytes have passed (-1: never).
+    """
 
     def __init__(self, loop: Loop, target: Address) -> None:
         self.loop, self.target = loop, target
-        self.mode, self.delay_ms = PASS, 0.0
+        self.mode, self.delay_ms, self.jitter_ms = PASS, 0.0, 0.0
+        self.trickle, self.cut_at, self.half_open = 0, -1, False
+        self.draw = Random(target[1])
         self.passed = 0  # bytes
         self._ends: set[Connection] = set()
         self.listener = Listener(loop, (HERE, 0), self._serve, 256, "relay")
@@ -44,7 +54,8 @@
 
     def heal(self) -> None:
         """Pass again; streams that have lost something end."""
-        self.mode = PASS
+        self.mode, self.delay_ms, self.jitter_ms = PASS, 0.0, 0.0
+        self.trickle, self.cut_at, self.half_open = 0, -1, False
         for end in list(self._ends):
             end.close()
 
@@ -54,22 +65,32 @@
         far = yield from connect(self.loop, self.target, self.loop.now() + CONNECT_MS)
         self._ends |= {near, far}
         try:
-            task = self.loop.spawn(self._pump(far, near), "relay")
+            task = self.loop.spawn(self._pump(far, near, back=True), "relay")
             yield from self._pump(near, far)
             task.cancel()
         finally:
             self._ends -= {near, far}
             far.close()
 
-    def _pump(self, source: Connection, sink: Connection) -> Coroutine[None]:
+    def _pump(self, source: Connection, sink: Connection, back: bool = False) -> Coroutine[None]:
         """One direction, until either end is over."""
         try:
             while data := (yield from source.receive(FOREVER)):
-                if self.delay_ms:
-                    yield from sleep(self.loop, self.delay_ms)
-                if self.mode == PASS:
-                    self.passed += len(data)
-                    yield from sink.send(data, FOREVER)
+                if self.delay_ms or self.jitter_ms:
+                    yield from sleep(self.loop, self.delay_ms + self.draw.uniform(0.0, self.jitter_ms))
+                while data:
+                    size = self.trickle or len(data)
+                    part, data = data[:size], data[size:]
+                    if 0 <= self.cut_at <= len(part):
+                        yield from sink.send(part[:self.cut_at], FOREVER)
+                        self.cut_at = -1
+                        return
+                    if self.mode == PASS and not (self.half_open and back):
+                        self.passed += len(part)
+                        self.cut_at -= len(part) if self.cut_at > 0 else 0
+                        yield from sink.send(part, FOREVER)
+                    if self.trickle:
+                        yield from sleep(self.loop, TRICKLE_MS)
         except (Broken, Expired):
             pass
         finally:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import resource
 import shutil
 import signal
 import socket
@@ -130,3 +131,45 @@
             f.until(lambda: {n for n, view in f.views(leader).items() if view == "out"} == set(gone))
             f.deliver("c4")
 
+
+
+def test_links_that_trickle_jitter_end_at_a_byte_or_answer_nothing_hold_no_decision_up_for_ever() -> None:
+    with fleet(3, 3) as f:
+        f.leader()
+        f.decide("c0", "k", "whole")
+        for link in f.links.values():
+            link.delay_ms, link.jitter_ms, link.trickle = 5.0, 25.0, 64
+        f.decide("c1", "k", "slow")
+        f.heal()
+        for byte in (0, 1, 7, 60, 150, 230, 400):  # in a head, in a body, between two
+            for link in f.links.values():
+                link.cut_at = byte
+            f.decide("c2", f"cut {byte}", "x")
+        f.heal()
+        leader = f.leader()
+        other = next(n for n in f.names if n != leader)
+        f.links[leader, other].half_open = True  # what it says arrives, and is never answered
+        f.decide(leader, "half", "x")
+        f.deliver(other)
+        f.heal()
+        f.until(lambda: f.all_hold("half", "x") and f.all_hold("cut 400", "x"))
+
+
+def test_a_leader_whose_disk_is_full_leads_no_more_refuses_at_its_door_and_takes_part_again() -> None:
+    with fleet(3, 3) as f:
+        leader = f.leader()
+        f.decide(leader, "before", "1")
+        process = f.processes[leader]
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))  # no write succeeds
+        status, told = f.put(leader, "full", "x")  # which once was never answered
+        assert status == 409 and "not saved" in told["why"]
+        others = [n for n in f.names if n != leader]
+        f.leader(others)
+        f.decide(others[0], "after", "2")
+        assert f.sent[f.hand_in(leader)] != b"HTTP/1.1 202"
+        f.deliver(others[1])
+        assert "not saved" in f.status(leader)["why"]
+        f.kill(leader)
+        f.start(leader)
+        f.until(lambda: f.all_hold("after", "2"))
+        f.decide(leader, "again", "3")
