--- a/ashvale/cli/fleet.py
+++ b/ashvale/cli/fleet.py
@@ -368,17 +368,33 @@
 
 
 @release.command("watch")
+@click.option("--report", type=click.Path(dir_okay=False), help="An HTML file for what was seen, with plots.")
 @click.pass_obj
-def release_watch(told: tuple[str, str, bool]) -> None:
+def release_watch(told: tuple[str, str, bool], report: str | None) -> None:
     """The waves as they go, until the release is over or halted."""
     from rich.live import Live
-    found = ask(told[0], told[1], "status").get("release")
+
+    from ashvale.cli.report import Samples, page
+    status = ask(told[0], told[1], "status")
+    found, samples = status.get("release"), Samples()
     with Live(_show(found), console=Console()) as live:
-        while found and found["status"] == "running":
+        while found:
+            samples.add(found, _ask_leader(status, told[1]).get("health", {}))
+            if found["status"] != "running":
+                break
             time.sleep(0.5)
-            found = ask(told[0], told[1], "status").get("release")
+            status = ask(told[0], told[1], "status")
+            now, past = status.get("release"), status.get("past", [])
+            if now is None:  # over: how it stands among those that were
+                found = next((one for one in past if one["number"] == found["number"]), None)
+            else:
+                found = now
             live.update(_show(found))
-    sys.exit(ALONE if found else 0)
+    if report is not None and samples.rows:
+        with open(report, "w", encoding="utf-8") as file:
+            file.write(page(samples))
+        click.echo(f"report: {report}")
+    sys.exit(ALONE if found and found["status"] == "halted" else 0)
 
 
 @release.command("history")
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -365,6 +365,8 @@
             "queue": [msgspec.to_builtins(waiting) for waiting in state.queue],
             "counted_out": sorted({*agent.outs(), *state.permits}),
             "release": msgspec.to_builtins(state.rollout), "past": msgspec.to_builtins(state.past),
+            "health": {name: [h.ends, h.given_up, h.owed] for name, (_, h) in sorted(agent.told.items())
+                       } if leads else {self.told.courier: list(self.service.health())},
             "version": self.told.version, "by_hand": self.service.by_hand(),
             "bans": {name: msgspec.to_builtins(ban) | ({
                 "confirmed": sorted(n for n in names if known.get(n, 0) >= ban.number),
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -275,8 +275,12 @@
         code, told = say("release", "plan", str(file))
         assert code == 1 and "wave 2, place 1: no courier is called 'c9'" in told
         file.write_text(file.read_text().replace('"c9"', '"c2"'))
-        assert say("release", "start", str(file), "--why", "a new version")[0] == 0
+        assert say("release", "start", str(file), "--why", "a <new> version")[0] == 0
+        assert say("release", "watch", "--report", str(tmp_path / "report.html"))[0] == 0
         f.until(lambda: last(f, "c0").get("note") == "done")
+        page = (tmp_path / "report.html").read_text()
+        assert "<h1>new: done</h1>" in page and "a &lt;new&gt; version" in page and page.count("<svg") == 2
+        assert not any(word in page for word in ("src=", "<link", "@import", "url(http"))  # from elsewhere
         assert "new: done; by " in say("release", "history")[1]
         assert say("release", "halt")[0] == 1 and "no release" in say("release", "status")[1]
         assert say("drain", "--courier", "c2", "--why", "disk")[0] == 0
