Draw campaigns over real couriers, and halt a release for one that never begins

Need: a courier that stands still with its permit granted (SIGSTOP before its step) let a release wait for ever; now it halts after `step_time`, by name, and goes on once resumed. `ashvale lab campaign` draws drains, releases, kills, stops and cuts over up to 40 real couriers and judges from the edges: who sends clients away, and an end for each message.

--- a/ashvale/cli/lab.py
+++ b/ashvale/cli/lab.py
@@ -167,3 +167,20 @@
         Path(report).write_text(json.dumps({"verdict": verdict, "events": events}, indent=1))
         click.echo(f"report: {report}")
     sys.exit(1 if broken else 0)
+
+
+@lab.command()
+@click.option("--couriers", default=15, type=click.IntRange(3, 40))
+@click.option("--seed", default=1)
+@click.option("--seconds", default=60.0)
+def campaign(couriers: int, seed: int, seconds: float) -> None:
+    """Real couriers under drawn drains, releases and faults; for outside CI."""
+    import tempfile
+    from pathlib import Path
+
+    from ashvale.lab.campaign import play as play_campaign
+    with tempfile.TemporaryDirectory() as folder:
+        broken, counts = play_campaign(Path(folder), couriers, seed, seconds, click.echo)
+    click.echo(", ".join(f"{name} {count}" for name, count in sorted(counts.items())))
+    click.echo(f"seed {seed}: {'all rules kept' if not broken else broken[0]}")
+    sys.exit(1 if broken else 0)
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -267,6 +267,7 @@
         self.base: dict[str, tuple[int, Health]] = {}
         self.released: frozenset[str] = frozenset()
         self.began_at: dict[tuple[str, str], float] = {}
+        self.idle_at: dict[str, tuple[int, float]] = {}
         self.soaks: tuple[str, int, float] = "", 0, 0.0
         self.tell_at = 0.0
         self.buildings = dict(setup.buildings)
@@ -543,7 +544,15 @@
                                 rollout.number), now)
             return
         for name in rollout.current:
-            if rollout.parts[name].state == releases.WAITS and name not in self.state.permits:
+            if rollout.parts[name].state != releases.WAITS:
+                continue
+            if (permit := self.state.permits.get(name)) is not None:
+                number, since = self.idle_at.get(name, (0, now))
+                self.idle_at[name] = permit.number, since if number == permit.number else now
+                if now - self.idle_at[name][1] > rollout.plan.step_ms:  # guards against one that never comes
+                    self._propose(Steer(f"idle/{mark}/{permit.number}", "halt", "the fleet",
+                                        f"{name}: has a permit and has not begun", "", rollout.number), now)
+            else:
                 if self.may_go(name, now) is None:
                     ask = Ask(f"go/{name}/{mark}/{self.state.applied}", name, "release", rollout.who,
                               f"release {rollout.plan.name}")
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -216,6 +217,22 @@
         assert f.order(one, "steer", verb="abandon", why="x")[0] == 200
 
 
+def test_one_that_never_begins_halts_it(tmp_path: Path) -> None:
+    with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
+        leader = settled(f)
+        one, other = (n for n in f.names if n != leader)
+        f.signal(one, signal.SIGSTOP)
+        told = plan("note", [one], [other], restarts=False, step_ms=1200.0)
+        f.until(lambda: f.order(leader, "release", plan=told)[0] == 200)
+        f.until(lambda: rollout(f, leader).get("status") == "halted", "a halt")
+        assert rollout(f, leader)["note"] == f"{one}: has a permit and has not begun"
+        f.signal(one, signal.SIGCONT)
+        f.until(lambda: not f.status(leader)["permits"] and not f.away(), "it is back")
+        assert f.order(other, "steer", verb="resume")[0] == 200
+        f.until(lambda: last(f, leader).get("note") == "done")
+        assert len((tmp_path / "steps").read_text().splitlines()) == 2
+
+
 def test_an_override_halts_it(tmp_path: Path) -> None:
     with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
         leader = settled(f)
