--- a/tests/test_permit_processes.py
+++ b/tests/test_permit_processes.py
@@ -186,3 +186,9 @@
         for name in f.names:
             f.deliver(name)
         assert len(f.endpoint.calls) == before + 3  # it serves again
+        assert f.order(leader, "unban", endpoint="second")[0] == 200
+        assert f.order(other, "ban", endpoint="second", ends_ms=-1.0)[0] == 409
+        assert f.order(other, "ban", endpoint="second", ends_ms=300.0)[0] == 200
+        f.until(lambda: all(f.status(n)["bans"] == {} for n in f.names), "its end")
+        told = [e["data"] for e in f.call(other, "GET", "log")[1] if '"its end"' in e["data"]]
+        assert len(told) == 1  # an entry of its own ended it, once
