--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -81,7 +81,7 @@
         except ImportError as error:
             log.error("takes no part in the fleet", extra={"why": f"not installed: {error.name}"})
             return
-        courier, banned = self, self._ban
+        courier = self
 
         class Here(Service):
             """What the fleet may do to this courier."""
@@ -91,7 +91,7 @@
                     courier.server.drain(on)
 
             def ban(self, names: frozenset[str]) -> None:
-                banned("fleet", names)
+                courier._ban("fleet", names)
 
             def ready(self) -> bool:
                 # A list that the file names is followed by its changes alone; no whole one may come for long.
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -441,9 +441,7 @@
 
     def may_go(self, courier: str, now: float) -> rules.No | None:
         """Whether a courier would be granted leave, as far as this one sees."""
-        ask = self._filled(Ask("", courier, "drain", "", ""), now)
-        return rules.may_go(self.state.budget, self.state.permits, self.state.queue, courier, ask.building,
-                            ask.out, ask.size, ask.size_building, ask.minute, ask.apart_left)
+        return self.state.may_go(self._filled(Ask("", courier, "drain", "", ""), now))
 
     def _filled(self, m: Ask, now: float) -> Ask:
         """At the leader: what it knows of the fleet, beside what was asked."""
@@ -561,11 +559,10 @@
                 if now - self.idle_at[name][1] > rollout.plan.step_ms:  # guards against one that never comes
                     self._propose(Steer(f"idle/{mark}/{permit.number}", "halt", "the fleet",
                                         f"{name}: has a permit and has not begun", "", rollout.number), now)
-            else:
-                if self.may_go(name, now) is None:
-                    ask = Ask(f"go/{name}/{mark}/{self.state.applied}", name, "release", rollout.who,
-                              f"release {rollout.plan.name}")
-                    self._propose(ask, now)
+            elif self.may_go(name, now) is None:
+                ask = Ask(f"go/{name}/{mark}/{self.state.applied}", name, "release", rollout.who,
+                          f"release {rollout.plan.name}")
+                self._propose(ask, now)
         if not rollout.through() or any(name in self.state.permits for name in rollout.current):
             self.soaks = "", 0, 0.0
         elif self.soaks[:2] != (rollout.way, rollout.wave):
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -30,7 +30,7 @@
 from ashvale.fleet.members import Rhythm, Status
 from ashvale.fleet.permits import REASON_MOST, Budget
 from ashvale.fleet.record import Role, Timing
-from ashvale.fleet.releases import BACK, Plan, faults
+from ashvale.fleet.releases import BACK, VERBS, Plan, faults
 from ashvale.fleet.state import (
     Ask,
     Begin,
@@ -229,6 +229,7 @@
             return
         self.agent = Agent(self.setup, self.store.saved, self.store.kept, self.life, self.random,
                            self.loop.now())
+        self.agent.version = self.told.version
         self.why = ""
         log.info("takes part in the fleet", extra={
             "fleet": self.told.name, "courier": self.told.courier,
@@ -249,7 +250,7 @@
             agent, store = self.agent, self.store
             assert store is not None
             agent.minute, agent.ready = int(time.time()) // 60 % 1440, self.service.ready()
-            agent.health, agent.version = Health(*self.service.health()), self.told.version
+            agent.health = Health(*self.service.health())
             fx = self._inputs.popleft()(agent)
             if not fx.saves:
                 self._carry_out(agent, fx)
@@ -524,7 +525,7 @@
                 raise ValueError("'plan' is missing")
             return Begin(self.id(), order.plan, order.who, order.why)
         if what == "steer":
-            if order.verb not in ("halt", "resume", "back", "skip", "abandon"):
+            if order.verb not in VERBS:
                 raise ValueError(f"'verb' is '{order.verb[:40]}', which is no order to a release")
             return Steer(self.id(), order.verb, order.who, order.why, order.courier)
         if what == "unban":
@@ -592,12 +593,16 @@
         if not self._input(lambda agent: agent.come_back(self.loop.now())):
             self.service.drain(False)  # guards service against a record that cannot be written any more
 
+    def _called_back(self) -> None:
+        """Have the record say that this courier was called back at its door, for nobody who waits for it."""
+        self.request(Call(self.id(), self.told.courier, "door"), lambda _result: None)
+
     def asked_to_drain(self, on: bool) -> Coroutine[tuple[int, float]]:
         """At the operator's door: a status and, with a no, when to come back (ms). Out of service goes who
         holds a permit; coming back needs nobody's leave."""
         if not on:
             self.come_back()
-            self.request(Call(self.id(), self.told.courier, "door"), lambda _result: None)
+            self._called_back()
             return 200, 0.0
         own = self.agent.kept.incarnation if self.agent is not None else 0
         ask = Ask(self.id(), self.told.courier, "drain", "door", "asked at the operator's door", life=own)
@@ -606,7 +611,7 @@
             return 200, 0.0
         log.info("no permit", extra={"why": result.why})
         if result.why.startswith("unknown"):  # guards a caller that was told no against a late yes
-            self.request(Call(self.id(), self.told.courier, "door"), lambda _result: None)
+            self._called_back()
         return 503, result.after_ms or ASK_AGAIN_MS
 
     def leave(self) -> None:
--- a/ashvale/fleet/releases.py
+++ b/ashvale/fleet/releases.py
@@ -21,6 +21,7 @@
 WAITS, BEGAN, DONE, FAILED, LEFT = "waits", "began", "done", "failed", "left"
 RUNNING, HALTED, OVER = "running", "halted", "over"
 OUT, BACK = "out", "back"
+VERBS = ("halt", "resume", "back", "skip", "abandon")  # what an operator may order
 OWED_TIMES, OWED_MORE = 4.0, 50.0  # messages owed: so many times the others', and so many more, is a pile
 
 
--- a/ashvale/fleet/state.py
+++ b/ashvale/fleet/state.py
@@ -318,6 +318,11 @@
         self.leases[command.lease] = Lease(command.holder, index, command.ttl)
         return Result(True, index)
 
+    def may_go(self, m: Ask) -> Optional[No]:
+        """Whether a courier would be granted leave, by what the leader filled in; None where it would."""
+        return rules.may_go(self.budget, self.permits, self.queue, m.courier, m.building, m.out, m.size,
+                            m.size_building, m.minute, m.apart_left)
+
     def _ask(self, index: int, m: Ask) -> Result:
         """A permit, a place in the queue, or no. A second permit takes the first one's place: what was said
         of the first, a late `Back` above all, counts no more."""
@@ -329,8 +334,7 @@
             return Result(False, 0, "waits no more")
         no: Optional[No] = None
         if known is None and not m.despite:
-            no = rules.may_go(kept.budget, kept.permits, kept.queue, m.courier, m.building, m.out, m.size,
-                              m.size_building, m.minute, m.apart_left)
+            no = self.may_go(m)
         if no is None and known is None and len(kept.permits) >= rules.PERMITS_MOST:
             no = No("too many permits")
         if no is None:
