--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -11,7 +11,7 @@
 from collections import defaultdict, deque
 
 from ashvale import interface as api
-from ashvale.interface import Effect, Outcome
+from ashvale.interface import Effect, Outcome, Readiness
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
 
 WINDOW_MS = 2000.0         # the ring's window: as long as the fixed spans that limits are commonly counted in
@@ -32,6 +32,7 @@
 LEFT = 0.25                # N does not grow while less than this share of a limit is reported left
 LANE_SHARE = 0.75         # part of the slots that one lane may hold
 RATE_MS = 20000.0          # span over which the usual traffic of a destination is counted
+REPEAT_MS = 150.0          # least part of a window left to a repeat's way: it counts when it arrives
 EDGE_MS = 80.0             # a waiting message is answered this long before its time is up
 ADVICE_MS = 1000.0         # when to come back with a message that was given up
 RENEW_MS = 300.0           # first pause before a failed message or the list is tried again; doubles
@@ -130,7 +131,8 @@
     def _later(self, at: float, dest: int, message: int = -1) -> None:
         """Look at a destination, or at a message, when this time comes."""
         self.count += 1
-        heapq.heappush(self.due, (at, self.count, dest, message))
+        if at < 1e17:
+            heapq.heappush(self.due, (at, self.count, dest, message))
 
     def _come_due(self, now: float) -> None:
         if now >= self.renew_at:
@@ -159,9 +161,9 @@
         self.renew_ms = RENEW_MS
         for endpoint in self.endpoints.values():
             endpoint.ready = endpoint.ready and event.how is api.ListKind.DELTA
-        for line in event.lines:
+        for line in (x for x in event.lines if x.target in self.endpoints or x.readiness is Readiness.READY):
             endpoint = self.endpoints.get(line.target) or self._add(line, now)
-            endpoint.ready, self.dirty[line.destination] = line.readiness is api.Readiness.READY, None
+            endpoint.ready, self.dirty[line.destination] = line.readiness is Readiness.READY, None
             if self.s.listed_rates and line.rate > 0 and endpoint.lane.total <= 0:
                 self._told(endpoint.lane, line.rate)
             endpoint.lane.blocked_until = max(endpoint.lane.blocked_until, line.silent_until)
@@ -204,10 +206,9 @@
         if m.key:
             self.turns.setdefault(m.key, []).append(m)
         # Guards rule two across a restart: what an earlier life sent counts for the limit and for the window.
-        m.attempts = event.attempts
-        if event.ran_at is not None:
-            m.maybe_ran = (event.ran_at, event.ran_zone)
-            self._later(event.ran_at + 0.95 * cls.window_ms, m.dest, m.id)
+        m.attempts, m.kept = event.attempts, event.kept
+        m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)
+        self._later(self._repeat_by(m), m.dest, m.id)
         self._expire(m, now, self._line(m, now))
         self._thin(m.dest, now)
         self._shed(now)
@@ -248,7 +249,7 @@
     def _shed(self, now: float) -> None:
         """Make room for the next message by giving up the one that earns least when its queue has drained."""
         full = self.messages.values() if self.held >= self.s.max_open else ()
-        if waiting := [m for m in full if not (m.out or m.done) and self._may_refuse(m)]:
+        if waiting := [m for m in full if not (m.out or m.done or m.kept) and self._may_refuse(m)]:
             self._give_up(min(waiting, key=lambda m: worth_at(m, now + self._drain(m.dest, now))), now)
 
     def _thin(self, dest: int, now: float) -> None:
@@ -259,9 +260,9 @@
             return
         n = max(n, self.many * self._part(lanes[0]))  # what a passing refusal took comes back
         left = max(m.deadline for m in queue) - max(now, self._blocked(dest))
-        served = max(1.0, n * left / WINDOW_MS) * self.dests[dest].endpoints[0].kind.per_call
-        if len(queue) > served and (waiting := [m for m in queue if not m.out and self._may_refuse(m)]):
-            self._give_up(min(waiting, key=lambda m: worth_at(m, now + self._drain(dest, now))), now)
+        room = max(1.0, n * left / WINDOW_MS) * self.dests[dest].endpoints[0].kind.per_call
+        if over := [m for m in queue if len(queue) > room and not (m.out or m.kept) and self._may_refuse(m)]:
+            self._give_up(min(over, key=lambda m: worth_at(m, now + self._drain(dest, now))), now)
 
     def _drain(self, dest: int, now: float) -> float:
         """Return about how long this destination's queue takes; at least a second."""
@@ -288,7 +289,8 @@
         """Rule two for repeats: until when another attempt is harmless, wherever it may go."""
         if m.maybe_ran is None or m.cls.effect is Effect.SAFE:
             return 1e18
-        return m.maybe_ran[0] + 0.95 * m.cls.window_ms if m.cls.effect is Effect.KEYED else -1e18
+        left = m.cls.window_ms - max(REPEAT_MS, 0.05 * m.cls.window_ms)
+        return m.maybe_ran[0] + left if m.cls.effect is Effect.KEYED else -1e18
 
     def _may_send(self, m: Message, e: Endpoint, now: float) -> bool:
         """The guard of every send: rules two, three, five and six for this message and endpoint."""
@@ -407,7 +409,7 @@
         # Guards slots against lost calls; doubled each time, as a message may be long. Unsafe ones end by it.
         patience = PATIENCE[1] if m.cls.effect is Effect.UNSAFE else PATIENCE[0] * 2.0 ** min(m.attempts, 4)
         until = min(m.deadline - 2 * self.s.tick_ms, now + patience * max(MARGIN_MS[2] * 3, e.lane.usual))
-        m.attempts, m.out = m.attempts + 1, m.out + 1
+        m.attempts, m.out, m.kept = m.attempts + 1, m.out + 1, False
         self.dests[m.dest].queue.remove(m)
         if self.leave is not None:
             self.leave.went(m.id, now)
@@ -436,7 +438,7 @@
             self._later(self.rests[m.key], m.dest)
         if not (event.outcome.never_ran or event.outcome is Outcome.OK or m.maybe_ran):
             m.maybe_ran = (call.sent, e.zone)
-            self._later(call.sent + 0.95 * m.cls.window_ms, m.dest, m.id)
+            self._later(self._repeat_by(m), m.dest, m.id)
         if event.finished or m.done:
             return self._finish(m, now)
         if event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED):
@@ -468,14 +470,12 @@
             self.crowded.add(e.kind)  # others are served: the connection table is full, no outage
         elif outcome not in (Outcome.CANCELLED, Outcome.MOOT) and not call.lost:
             e.marks.append(False)
-            # Guards health against one lost answer that is told for each message of its call, and against
-            # counting an endpoint out that loses some and serves on: one that is gone refuses connections.
+            # Guards health against an answer lost for a whole call, and one that loses some but serves on.
             call.lost = outcome is Outcome.RESET
             lossy = call.lost and (now < e.lossy_until or now - e.ramp_from < self.s.warm_up_ms)
             e.unconnected = outcome is Outcome.CONNECT_FAILED
             self.crowded |= {e.kind} if e.unconnected else set()  # until it proves to be an outage
-            # Guards against calls lost at random, or very long: one overtaken by a later call is no sign of
-            # an outage. May hurt where an endpoint answers one kind of call alone.
+            # Guards against calls lost at random, or very long: one that a later call overtook is no sign.
             if call.sent > e.ok_sent and not lossy or failing(e):
                 self._went_out(e, now, call.sent)
 
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -305,7 +305,7 @@
         self._succeeded = self.exchange.journal.succeeded
         self.exchange.close_at(now + (HANDOVER_MS if self._succeeded else LAST_SEND_MS))
         if self.server is not None:
-            self.server.closing = True
+            self.server.last_call()
         self.loop.call_at(now + HANDOVER_MS, self._handed_over)
         self.loop.call_at(now + END_MS, self.loop.stop)
 
@@ -331,7 +331,9 @@
         self._end_when_idle()
 
     def _end_when_idle(self) -> None:
-        if self.exchange.idle or self._succeeded and self.exchange.quiet:
+        # Guards a request that is half read, or has come and is not told yet, against the end of the process.
+        left = self.server is None or self.server.left
+        if left and (self.exchange.idle or self._succeeded and self.exchange.quiet):
             self.loop.stop()
         else:
             self.loop.call_at(self.loop.now() + 20.0, self._end_when_idle)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -101,6 +101,7 @@
     attempts: list[int] = field(default_factory=list)
     open: set[int] = field(default_factory=set)
     by: list[float] = field(default_factory=list)  # part by part, when its last byte has to be handed over
+    begun: bool = False  # the journal has it: from then on it may have run
     # What its carrier tells of it, on the loop's clock; nought: it has not come to that.
     reused: bool = False
     connected: float = 0.0
@@ -241,6 +242,7 @@
                 log.error("front no longer configured", extra={"id": entry.id, "front": entry.front})
                 continue
             self._ids[entry.front, entry.id] = entry
+            entry.resumed = True
             if self.tracer is not None:
                 self.tracer.resumed(entry)
             if entry.state:
@@ -375,13 +377,15 @@
 
     def _hold(self, entry: Entry) -> None:
         self._owed[entry.number] = entry
+        entry.sends = entry.attempts
         self._post(self._new(entry))
 
     def _new(self, entry: Entry) -> api.NewMessage:
         ran_at = None if entry.ran_at is None else self.local(entry.ran_at)
         return api.NewMessage(
             entry.number, self._classes[entry.cls], self._dest(entry.dest), self.local(entry.deadline),
-            self._tenants.get(entry.tenant, 0), 0, entry.retried, entry.attempts, ran_at, entry.ran_zone)
+            self._tenants.get(entry.tenant, 0), 0, entry.retried, entry.sends, ran_at, entry.ran_zone,
+            entry.resumed and not entry.attempts)
 
     def withdraw(self, entry: Entry) -> None:
         """The client never heard that its message was taken: it counts for nothing."""
@@ -427,10 +431,11 @@
             told += [i for i in self.instances.values() if i.carrier not in carriers]
             # What two whole lists leave out is forgotten; one is not enough, as the Controller has yet to
             # hear of it and may still name it. Nor are two that come in one turn, for the same reason.
-            names = {i.name for i in told} | {e.instance.name for e in self._out.values()}
+            names = {i.name for i in told}
             if not any(isinstance(event, api.ListKnown) for event in self._events):
+                used = names | {e.instance.name for e in self._out.values()}
                 self.instances = {n: i for n, i in self.instances.items()
-                                  if n in names or n not in self._left}
+                                  if n in used or n not in self._left}
             self._left = self.instances.keys() - names
         else:
             self._left -= {instance.name for instance in told}
@@ -504,7 +509,8 @@
         attempt = execution.attempts[execution.parts.index(entry)]
         finished = outcome is Outcome.OK or bool(over) or entry.number not in self._owed
         ended = self.loop.now()
-        self._journal_outcome(entry, outcome, ended, wait_ms)
+        if execution.begun:
+            self._journal_outcome(entry, outcome, ended, wait_ms)
         if self.tracer is not None:
             self.tracer.settled(execution, entry, outcome, wait_ms, ended)
         if outcome is Outcome.OK or over:
@@ -523,17 +529,35 @@
         self._post(api.Settled(entry.number, attempt, execution.instance.name.encode(), outcome, took,
                                finished, wait_ms, no_slot))
 
+    def begin(self, execution: Execution) -> bool:
+        """Tell whether an execution may be written, and if so write down first that it begins.
+
+        Carriers ask right before they write. What a kill cuts off before this was never tried, and after it
+        may have run.
+        """
+        if not self.may_write(execution):
+            return False
+        if not execution.begun:
+            try:
+                self.journal.started(execution.parts, self.wall(self.loop.now()),
+                                     self._zones.get(execution.instance.zone, 0), execution.instance.name)
+            except Full as error:  # an execution that the journal does not know must not begin
+                log.error("execution not begun", extra={"why": str(error)})
+                return False
+            execution.begun = True
+        return True
+
     def may_write(self, execution: Execution) -> bool:
         """Tell whether an execution may still be written; parts that may not leave it, as never run.
 
-        Carriers ask right before they write. Guards two rules where a connection takes long to come up: on
-        waits, as what the Controller sent before it heard of one would arrive in the midst of it; and on
-        repeats, as a window that held when the Controller chose may have closed (under a cut a connection
-        comes up at the system's second try, a second later).
+        Guards three rules where a connection takes long to come up: on waits, as what the Controller sent
+        before it heard of one would arrive in the midst of it; on drains, as the instance may have left the
+        list, or another may have its address; and on repeats, as a window that held when the Controller chose
+        may have closed (under a cut a connection comes up at the system's second try, a second later).
         """
         now = self.loop.now()
         told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
-        if execution.sent <= told and now < until:
+        if execution.sent <= told and now < until or not self._stands(execution.instance):
             return False
         for at in [at for at, by in enumerate(execution.by) if now >= by][::-1]:
             self.report(execution, execution.parts[at], Outcome.MOOT)
@@ -541,6 +565,19 @@
                 del parts[at]
         return bool(execution.parts)
 
+    def _stands(self, instance: Instance) -> bool:
+        """Tell whether the list still names an instance as ready, and under the address that is held here."""
+        known = self.instances.get(instance.name)
+        listed = known is not None and known.ready and not known.gone and known.name not in self._left
+        return known is not None and listed and known.address == instance.address and (
+            known.name not in self.banned)
+
+    def hush(self, execution: Execution, wait_ms: float) -> None:
+        """A wait that an answer tells whose end is still to come: it binds all the same, from now on."""
+        route, until = self._route(execution.instance), self.loop.now() + wait_ms
+        self.hear_wait(route, until)
+        self.tell_wait(route, until)
+
     def _heard(self, instance: str, now: float) -> None:
         """The Controller knows of a wait that an instance told, and sends no more by itself."""
         if (known := self.instances.get(instance)) and (route := self._route(known)) in self._silent:
@@ -638,7 +675,8 @@
             calls.append(Execution(instance, now, action.until))
         execution = calls[-1]
         execution.parts.append(entry)
-        execution.attempts.append(entry.attempts)
+        execution.attempts.append(entry.sends)
+        entry.sends += 1
         execution.by.append(action.by)
         execution.open.add(entry.number)
         execution.until = min(execution.until, action.until)
@@ -648,16 +686,6 @@
             self._out[entry.number] = execution
         if self.tracer is not None:
             self.tracer.begins(execution)
-        try:
-            self.journal.started(execution.parts, self.wall(execution.sent),
-                                 self._zones.get(execution.instance.zone, 0), execution.instance.name)
-        except Full as error:  # an execution that the journal does not know must not begin
-            log.error("execution not begun", extra={"why": str(error)})
-            for entry in execution.parts:
-                entry.attempts += 1  # the Controller counts it
-                self.report(execution, entry, Outcome.MOOT)
-            return
-        if self.tracer is not None:
             self.tracer.begun(execution)
         self.carriers[execution.instance.carrier].execute(execution)
 
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -169,6 +169,7 @@
     attempts: int = 0               # made in an earlier life of the process, as are the next two
     ran_at: Optional[float] = None  # send time of the first attempt that may have run
     ran_zone: int = 0
+    kept: bool = False              # taken on in an earlier life, which never tried it
 
 
 @dataclass(frozen=True)
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -68,6 +68,8 @@
     state: str = ""                    # how it ended, once that is decided
     after_ms: float = 0.0
     keep_until: float = 0.0            # the outcome is remembered until then
+    sends: int = 0                     # attempts that the module has decided on, begun or not
+    resumed: bool = False              # an earlier life of the process took it on
     trace: str = ""                    # the message's place in a trace; empty where it is not traced
     # Of a traced message: each execution's begin, instance, outcome (by number), end and told wait; and with
     # no instance, from when to when no process was there.
@@ -89,6 +91,8 @@
         return cls(body=data[4 + size:], **fields)
 
     def started(self, at: float, zone: int, instance: str = "") -> None:
+        if self.out_since is not None:  # guards the rule on repeats where an outcome could not be written
+            self.outcome(False)
         self.attempts, self.out_since, self.out_zone = self.attempts + 1, at, zone
         if self.trace and len(self.history) < HISTORY_MOST:
             self.history.append([at, instance, 0, at, 0.0])
--- a/ashvale/lab/mail.py
+++ b/ashvale/lab/mail.py
@@ -104,6 +104,7 @@
     def _say(self, connection: Connection, script: Script, step: str, usual: str) -> Coroutine[bool]:
         action = script.get(step, usual)
         if action == DROP:
+            connection.close()
             return False
         if action == STALL:
             yield Signal(), FOREVER
--- a/ashvale/lab/stands.py
+++ b/ashvale/lab/stands.py
@@ -102,7 +102,7 @@
             self.out -= 1
             if action == DROP:
                 self._ends(part, "dropped")
-                return
+                return connection.close()
             if action == STALL:
                 yield from self._works(connection, part, FOREVER)
                 yield Signal(), FOREVER
@@ -171,6 +171,7 @@
         self.seq, self.changed = 1, Signal()
         self.hosts = {"s-0": {"host": "s-0", "dial": f"{HERE}:9", "block": 1, "health": "DRAINING"}}
         self.down, self.refuse = False, 0
+        self.indent: Optional[int] = None
         self.notices: list[dict[str, Any]] = []
         self.asked: list[str] = []
         self.listener = Listener(loop, address, self._serve, 100, "discovery")
@@ -200,10 +201,13 @@
                 yield from connection.send(answer(503 if self.refuse >= 0 else 204), FOREVER)
                 continue
             self.asked.append(call.path)
+            most = float(call.path.rpartition("timeout_ms=")[2]) if "timeout_ms=" in call.path else WATCH_MS
+            until = self.loop.now() + min(most, WATCH_MS)
             while self.down or f"since={self.seq}&" in call.path:
-                if not ((yield self.changed, self.loop.now() + WATCH_MS) or self.down):
+                if not ((yield self.changed, FOREVER if self.down else until) or self.down):
                     break
-            yield from connection.send(answer(200, json.dumps(self.whole()).encode()), FOREVER)
+            yield from connection.send(answer(200, json.dumps(
+                self.whole(), indent=self.indent).encode()), FOREVER)
 
 
 def request(cls: str, id: str, dest: int = 1, body: bytes = b"hello", timeout: str = "9000m",
--- a/ashvale/lab/virtual.py
+++ b/ashvale/lab/virtual.py
@@ -118,6 +118,13 @@
                 self.end(True)
         return count
 
+    def shutdown(self, how: int) -> None:
+        assert how == socket.SHUT_WR
+        if self.closed or self.reset or self.peer is None:
+            raise OSError(errno.ENOTCONN, "not connected")
+        peer = self.peer
+        self._net.pass_on(self, lambda: peer.end(False))
+
     def close(self) -> None:
         if self.closed:
             return
--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -33,6 +33,7 @@
 CROWDED = 0.75                      # share of the connections allowed from which resting ones go
 AGAIN_MS = 50.0                     # pause before a task that failed begins again
 FULL_MS = 25.0                      # pause before another look for room where none rests long enough
+LINGER_MS = 300.0                   # the other side of a connection that is finished has so long to end it
 log = logging.getLogger(__name__)
 
 
@@ -322,9 +323,11 @@
         self.inbound, self.outbound = Ring(), Ring()
         self.changed = Signal()
         self.ended = False  # the other side sends no more
+        self.finished = False  # this side has said that it sends no more, and looks at nothing more
         self.fault: Optional[OSError] = None
         self.closed = False
         self.on_close: Callable[[], None] = _nothing
+        self._lingers: Optional[Timer] = None
         self._mask = 0
         self._interest()
 
@@ -343,6 +346,10 @@
             self._receive()
         elif mask & (select.EPOLLHUP | select.EPOLLERR):
             self._fail(ConnectionResetError(errno.ECONNRESET, "connection lost"))
+        if self.finished:
+            self.inbound.take()
+            if self.ended:
+                return self.close()
         self._interest()
         self.changed.fire()
 
@@ -373,6 +380,8 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
+            if not self.ended:  # guards an answer that came before the reset which a write now finds
+                self._receive()
             self._fail(error)
 
     def _fail(self, error: OSError) -> None:
@@ -382,7 +391,12 @@
     @property
     def stale(self) -> bool:
         """True when an idle connection is of no more use: ended, broken, or spoken to out of turn."""
-        return self.closed or self.ended or self.fault is not None or bool(len(self.inbound))
+        return self.gone or self.ended or self.fault is not None or bool(len(self.inbound))
+
+    @property
+    def gone(self) -> bool:
+        """True when this side has ended it: nothing is sent on it or read from it any more."""
+        return self.closed or self.finished
 
     def send(self, data: bytes, until: float) -> Coroutine[None]:
         """Return once the last byte has been handed to the system, whatever has become of the stream since.
@@ -392,13 +406,13 @@
         """
         view, done = memoryview(data), 0
         while True:
-            if self.fault is None and not self.closed:
+            if self.fault is None and not self.gone:
                 done += self.outbound.append(view[done:])
                 self.flush()
                 self._interest()
             if done == len(data) and not len(self.outbound):
                 return
-            if self.fault is not None or self.closed:
+            if self.fault is not None or self.gone:
                 raise Broken(str(self.fault or "closed"))
             if not len(self.outbound):
                 continue  # guards a long send against waiting for a socket that has just taken a whole ring
@@ -407,12 +421,13 @@
 
     def receive(self, until: float) -> Coroutine[bytes]:
         """Return what has come in; nothing at the end of the stream."""
-        while not len(self.inbound):
-            if self.fault is not None or self.closed:
+        while self.gone or not len(self.inbound):
+            if self.fault is not None or self.gone:
                 raise Broken(str(self.fault or "closed"))
             if self.ended:
                 return b""
-            if not (yield self.changed, until):
+            # Guards what came in the very moment in which the time ran out, and is not yet told.
+            if not (yield self.changed, until) and self.quiet() and not self.ended:
                 raise Expired("the other side sends no data")
         data = self.inbound.take()
         self._interest()
@@ -423,7 +438,7 @@
         seen = 0
         while (at := self.inbound.find(10, seen)) < 0 and len(self.inbound) < most:
             seen = len(self.inbound)
-            if self.fault is not None or self.ended or self.closed:
+            if self.fault is not None or self.ended or self.gone:
                 raise Broken(str(self.fault or "the stream ended"))
             if not (yield self.changed, until):
                 raise Expired("the other side sends no data")
@@ -431,9 +446,32 @@
         self._interest()
         return data
 
+    def finish(self) -> None:
+        """End it so that what was sent last is read: say that no more comes, and let go when the other side
+        has ended too, or after LINGER_MS. What still comes is thrown away, as nobody could be answered.
+
+        Guards an answer against a close over unread bytes: the system would reset the connection, and the
+        answer goes with it where the other side has not read it yet.
+        """
+        if self.gone:
+            return
+        if self.ended or self.fault is not None or len(self.outbound):
+            return self.close()  # nothing can cross any more, or the stream is of no use
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return self.close()
+        self.finished = True
+        self.inbound.take()
+        self._interest()
+        self._lingers = self.loop.call_at(self.loop.now() + LINGER_MS, self.close)
+        self.changed.fire()
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            if self._lingers is not None:
+                self._lingers.cancel()
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
             on_close, self.on_close = self.on_close, _nothing  # which refers to this connection
@@ -491,7 +529,7 @@
         self.loop, self.serve, self.most, self.name = loop, serve, most, name
         self.open: dict[Connection, None] = {}
         self.resting: dict[Connection, tuple[float, bool]] = {}  # since when, and whether it was ever used
-        self.dismiss: Callable[[Connection], None] = Connection.close
+        self.dismiss: Callable[[Connection], None] = Connection.finish
         self.spare_ms = FRESH_MS, SPARE_MS
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = loop.socket(family)
@@ -515,8 +553,8 @@
         self._accepting = False
         self.loop.unwatch(self.sock.fileno())
 
-    def _accept(self, _mask: int) -> None:
-        for _ in range(_ACCEPTS):
+    def _accept(self, _mask: int, most: int = _ACCEPTS) -> None:
+        for _ in range(most):
             if self.crowded:
                 self._make_room()
             if len(self.open) >= self.most:
@@ -553,11 +591,20 @@
 
     def _make_room(self) -> None:
         """Dismiss the connection that has rested longest, if one has rested long enough."""
+        self.dismiss_resting(*self.spare_ms, most=1)
+
+    def dismiss_resting(self, fresh_ms: float, used_ms: float, most: float = FOREVER) -> None:
+        """Dismiss connections that have rested so long, those never used and those used, the oldest first.
+
+        Guards a request that has come and is not told yet against the end of its connection: it is served.
+        """
         now = self.loop.now()
-        for connection, (since, used) in self.resting.items():
-            if now - since >= self.spare_ms[used] and connection.quiet():
+        for connection, (since, used) in list(self.resting.items()):
+            if now - since >= (used_ms if used else fresh_ms) and connection.quiet():
                 self.wake(connection)
-                return self.dismiss(connection)
+                self.dismiss(connection)
+                if (most := most - 1) <= 0:
+                    return
 
     def _run(self, connection: Connection) -> Coroutine[None]:
         try:
@@ -565,7 +612,7 @@
         except (Broken, Expired) as error:
             log.debug("connection ended", extra={"front": self.name, "why": str(error)})
         finally:
-            connection.close()
+            connection.finish()
 
     def _gone(self, connection: Connection) -> None:
         self.open.pop(connection, None)
@@ -577,7 +624,7 @@
         reset it, and beside a new process it was meant for this one."""
         if not self.closed:
             if self._accepting:
-                self._accept(0)
+                self._accept(0, self.most)
             self.closed = True
             self._pause()
             self.sock.close()
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -225,14 +225,13 @@
         self.closing = True
         for listener in self.listeners:
             listener.close()
-            for connection in list(listener.resting):
-                self._dismiss(connection)
+            listener.dismiss_resting(0.0, 0.0)
 
     @staticmethod
     def _dismiss(connection: Connection) -> None:
         connection.outbound.append(b"421 4.3.2 closing\r\n")
         connection.flush()
-        connection.close()
+        connection.finish()
 
 
 def identity(sender: str, recipients: list[str], body: bytes) -> str:
@@ -476,10 +475,11 @@
         self.extensions = {w[0].upper(): w[1] if len(w) > 1 else "" for w in words if w}
 
     def deliver(self, sender: str, recipients: list[str], body: bytes, until: float,
-                check: Callable[[], None]) -> Coroutine[list[tuple[int, str]]]:
+                check: Callable[[], None], begin: Callable[[], None]) -> Coroutine[list[tuple[int, str]]]:
         """One transaction; the replies to its final dot: one, or with LMTP one for each recipient.
 
-        `check` raises where the transaction is not to go on, and is asked before each thing that is said.
+        `check` raises where the transaction is not to go on, and is asked before each thing that is said;
+        `begin` is so too, right before the message itself.
         """
         self.reusable_now = self.written = False
         parameters, plain, size = "", body.isascii(), self.extensions.get("SIZE", "")
@@ -497,7 +497,7 @@
         check()
         yield from self._say("DATA", until)
         yield from self.expect(399, until)
-        check()
+        begin()
         by = self.execution.by if self.execution is not None else []
         yield from self.connection.send(stuffed(body), min([until, *by]))
         self.written = True
@@ -581,7 +581,8 @@
             if self.setup.trace_headers:
                 body = with_headers(body, self.exchange.trace_headers(execution))
             answers = yield from client.deliver(
-                envelope["from"], envelope["to"], body, until, lambda: self._check(execution))
+                envelope["from"], envelope["to"], body, until, lambda: self._check(execution),
+                lambda: self._begin(execution))
             outcome, wait, over = verdict(answers)
         except Declined as error:
             outcome, wait, over = judge(error.code, error.text, error.early)
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -46,7 +46,11 @@
 PAST_MOST = 2048          # ids of messages that are over, kept to know them again
 LINGER_MS = 250.0         # the rest of an answer that is settled may trickle in for this long
 REST_MS = 80.0            # the rest of a refusal has this long to come, or the answer is spoilt
-WATCH_MS, AGENT_MS = 30000.0, 1000.0  # how long a watch may wait, and discovery's agent to answer
+LAST_REQUEST_MS = 3100.0  # after SIGTERM a request that is not whole by then is answered as it is
+SETTLE_MS = 400.0         # and a new connection that says nothing for so long is ended
+# How long a watch may wait, and discovery's agent to answer. Together less than the 6 s after which what a
+# watch that fell silent has missed counts as told.
+WATCH_MS, AGENT_MS = 4000.0, 1000.0
 NOTICE_MS = 200.0         # the agent answers notices at once; what is late to be told counts as lost
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 BUSY_MS = (20.0, 16000.0)  # where it turns lists away: first, for each courier of the fleet, and longest
@@ -99,12 +103,12 @@
 
 def decode_batch(body: bytes) -> dict[str, str]:
     """How each message of a batch ended, by id."""
-    ends = {}
+    ends = dict[str, str]()
     for line in body.decode("utf-8", "replace").splitlines():
-        words = line.split()
-        if len(words) >= 2:
-            ends[words[0]] = words[1]
-    return ends
+        id, *words = line.split() or [""]
+        # Guards the rule on repeats against an answer that contradicts itself: it proves nothing.
+        ends[id] = words[0] if len(words) == 1 and ends.get(id, words[0]) == words[0] else ""
+    return {id: end for id, end in ends.items() if end}
 
 
 def decode_host(data: Any) -> Instance:
@@ -152,6 +156,7 @@
         self.loop, self.exchange, self.notices = loop, exchange, notices
         self.closing = False
         self.draining = False  # operators send clients away: /up says no and no connection is kept
+        self._last = FOREVER  # no request is waited for beyond this
         self._past: dict[str, str] = {}
         self.listener = Listener(loop, address, self._serve, most, "platform", reuse_port=True)
 
@@ -172,19 +177,28 @@
         """Operators' drain: say no on /up, end what rests and every connection after its answer; or not."""
         self.draining = on
         if on:
-            for connection in list(self.listener.resting):
-                connection.close()
+            self.listener.dismiss_resting(0.0, 0.0)
 
     @property
     def ready(self) -> bool:
         return not (self.closing or self.draining)
 
+    def last_call(self) -> None:
+        """The process is to end: every answer ends its connection, and no request is waited for too long."""
+        self.closing = True
+        self._last = self.loop.now() + LAST_REQUEST_MS
+
     def leave(self) -> None:
         """Accept no more, and end the connections on which no request is under way."""
         self.listener.close()
         self.closing = True
-        for connection in list(self.listener.resting):
-            connection.close()
+        self.listener.dismiss_resting(SETTLE_MS, 0.0)
+
+    @property
+    def left(self) -> bool:
+        """True when no service client is connected any more; ends those that rest."""
+        self.listener.dismiss_resting(SETTLE_MS, 0.0)
+        return not self.listener.open
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
@@ -232,7 +246,12 @@
                 if idle:
                     self.listener.rest(connection, used)
                 try:
-                    data = yield from connection.receive(until)
+                    data = yield from connection.receive(min(until, self._last))
+                except Expired:
+                    if idle:
+                        raise
+                    # Guards a request whose last byte crosses the end of our patience: it has its answer.
+                    raise Refused(503 if self.closing else 408, "the request has no end") from None
                 finally:
                     self.listener.wake(connection)
                 if idle:
@@ -309,13 +328,13 @@
     def _reply(self, connection: Connection, http: h11.Connection, status: int,
                headers: list[tuple[str, str]]) -> Coroutine[None]:
         # Guards new clients where each keeps a connection of its own: resting ones go too late to make room.
-        close = self.closing or self.draining or self.listener.crowded or http.their_state is not h11.DONE
-        close = close or status in (400, 413, 431)
+        close = self.closing or self.draining or self.listener.crowded
+        # Guards a request that has come behind this one: it was read, so it is answered too.
+        close = close and connection.quiet() and not http.trailing_data[0]
+        close = close or http.their_state is not h11.DONE or status in (400, 413, 431)
         data = http.send(response(status, close, tuple(headers))) or b""
         until = self.loop.now() + REQUEST_MS
         yield from connection.send(data + (http.send(h11.EndOfMessage()) or b""), until)
-        while status == 413 and (yield from connection.receive(until)):
-            pass  # guards the answer against a reset that unread data would cause
 
 
 @lru_cache(maxsize=64)  # nearly all answers are one of a few, and checking their headers takes time
@@ -426,7 +445,8 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
     most: int = BODY_MOST
-    on_head: Callable[[], float] = lambda: FOREVER  # tells how long the rest may take
+    on_head: Callable[[], float] = lambda: FOREVER  # where the rest is still to come: how long it may take
+    partial: bool = False  # that was asked
     execution: Optional[Execution] = None  # is told when things happened
 
 
@@ -458,6 +478,9 @@
             try:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
+                    if reply.status and not reply.partial:
+                        reply.partial = True
+                        until = min(until, self.connection.loop.now() + reply.on_head())
                     received = yield from self.connection.receive(until)
                     if reply.execution is not None and not reply.execution.first and received:
                         reply.execution.first = self.connection.loop.now()
@@ -471,7 +494,9 @@
                 raise
             if isinstance(event, h11.Response):
                 reply.status, reply.headers = event.status_code, dict(event.headers)
-                until = min(until, self.connection.loop.now() + reply.on_head())
+            elif isinstance(event, h11.InformationalResponse):
+                if self.connection.loop.now() >= until:  # guards against announcements that never end
+                    raise Expired("no answer but announcements")
             elif isinstance(event, h11.Data):
                 reply.body += event.data
                 if len(reply.body) > reply.most:
@@ -505,7 +530,7 @@
         try:
             if client is None:
                 client = HttpClient((yield from self._connect(execution)), instance.address)
-            self._check(execution)
+            self._begin(execution)
             yield from self._ask(client, execution, reply)
         except Stopped:
             outcome = Outcome.MOOT
@@ -523,6 +548,7 @@
 
     def _ask(self, client: HttpClient, execution: Execution, reply: Reply) -> Coroutine[None]:
         wait = f"{max(1, round(execution.until - self.loop.now()))}m"
+        reply.on_head = lambda: self._first(execution, reply)
         if len(execution.parts) > 1:
             body = encode_batch(execution.parts)
             headers = [("Request-Timeout", wait), *self.exchange.trace_headers(execution)]
@@ -533,18 +559,21 @@
         if entry.key:
             headers.insert(1, ("Idempotency-Key", entry.key))
         headers += self.exchange.trace_headers(execution)
-        reply.on_head = lambda: self._first(execution, reply)
         yield from client.ask("POST", "/hook", headers, entry.body, execution.until, reply)
 
     def _first(self, execution: Execution, reply: Reply) -> float:
         """Guards slots: a delivery is settled by its first line and does not wait for a rest that trickles.
 
-        A refusal is none before it is whole, as a spoilt answer proves nothing; but its wait binds soon.
+        A refusal is none before it is whole, as a spoilt answer proves nothing; but its wait binds at once.
         """
-        if reply.status == 200:
-            self._settle(execution, reply)
-            return LINGER_MS
-        return REST_MS
+        if (wait := wait_ms(reply.headers)) > 0:
+            self.exchange.hush(execution, wait)
+        if reply.status != 200:
+            return REST_MS
+        if len(execution.parts) > 1:
+            return FOREVER
+        self._settle(execution, reply)
+        return LINGER_MS
 
     def _settle(self, execution: Execution, reply: Reply) -> None:
         """Report each message of the call by what has come back."""
@@ -631,11 +660,15 @@
                     raise Broken("the agent is elsewhere")
                 if status != 200:
                     raise Broken(f"status {status}")
-                self._known, whole, hosts = decode_hosts(json.loads(body))
+                version, whole, hosts = decode_hosts(json.loads(body))
+                if seq is not None and version < seq:
+                    raise ConfigError(f"list: version {version} came after {seq}")
+                self._known = version
             except (Broken, Expired, ConfigError, ValueError) as error:
                 log.warning("discovery silent", extra={"why": str(error), "since": seq})
                 if not isinstance(error, (Broken, Expired)) or status in (400, 404, 410):
                     self._known = None  # guards against a change that was not understood: ask for all of it
+                tries = 0 if isinstance(error, Expired) else tries  # silence has been waited for already
                 if not self._afresh:
                     busy = status in (429, 503)
                     couriers = self.exchange.settings.forwarders
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -103,10 +103,15 @@
                     connection.close()
 
     def _check(self, execution: Execution) -> None:
-        """To be called right before a message is written."""
+        """To be called before anything is said of a message."""
         if not self.exchange.may_write(execution):
             raise Stopped
 
+    def _begin(self, execution: Execution) -> None:
+        """To be called right before a message is written."""
+        if not self.exchange.begin(execution):
+            raise Stopped
+
     def _too_late(self, execution: Execution) -> Outcome:
         """How an execution ended whose time ran out before its last byte was handed over: it never ran.
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -37,7 +37,8 @@
         return 0.0
 
     def execute(self, execution: Execution) -> None:
-        self.started.append(all(e.out_since is not None for e in execution.parts))
+        begun = self.exchange.begin(execution)  # as carriers do, right before they write
+        self.started.append(begun and all(e.out_since is not None for e in execution.parts))
         self.executions.append(execution)
 
     def cancel(self, execution: Execution) -> None: ...
@@ -171,7 +172,7 @@
     notes.exchange.instances_known(api.ListKind.FULL, [HUB])
     take(notes, "a")
     rest(notes)
-    assert not notes.executions
+    assert notes.started == [False] and not notes.executions[0].begun
 
 
 def test_the_door_is_shut_when_as_much_is_held_as_may_be(notes: Notes) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -204,8 +204,9 @@
         half = socket.create_connection(address)
         half.sendall(b"POST /rate-update HTTP/1.1\r\n")
         s.rest(900.0)
-        for client in (*silent, half):  # closed, though nothing more came
+        for client in (*silent, half):  # closed, though nothing more came; half a request is answered first
             client.settimeout(1.0)
+            assert client is not half or client.recv(100).startswith(b"HTTP/1.1 408 ")
             assert client.recv(100) == b""
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -37,6 +37,22 @@
     assert isinstance(driver.log[-1], api.Refuse)
 
 
+def test_an_endpoint_that_drains_and_is_listed_again_and_again_delays_no_trial_of_its_kin() -> None:
+    """Guards a destination that is out against lists: each pushed its next trial out by another pause."""
+    def tried(*more: api.Listing) -> float:
+        driver = started(line("a"))
+        message(driver, 1)
+        driver.settle(1, 0, Outcome.CONNECT_FAILED)
+        for at in range(100, 6000, 100):
+            driver.until(float(at))
+            driver.feed(listed(line("a"), *more))
+            if sends(driver, 1) > 1:
+                return driver.now
+        return driver.now
+
+    assert tried(line("gone", ready=api.Readiness.DRAINING)) == tried() < 5000.0
+
+
 def test_an_unsafe_message_that_may_have_run_fails_at_once() -> None:
     driver = started(line("a"))
     message(driver, 1, UNSAFE)
