Halve a ring under one by refusals in a row, and let it grow slower than it falls

By the couriers' logs 10,231 of 15,934 + 10,231 calls were refused; in half-second steps a destination served its 20 a second until the couriers asked for more, then refused every call for 5 to 12 s while 20 to 40 a second still came, and served again when fewer than about 20 came: refused calls use its limit up. Ruled out: lost answers (1 in 60 calls), give-ups by the door (no 503), slots (20 of 42 descriptors), clients coming back. At fault: _refused lowered a ring under one by a quarter, to a floor of 0.35 of the listed part whatever followed, and _grow doubled it with one success, so many senders settle where most calls are refused. Now refusals in a row halve N and its floor, down to an eighth; a success ends the row, brings N back to its floor and raises it by six tenths.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -28,7 +28,7 @@
 LOSSY_MS = 10000.0         # after a mishap lost answers alone are no outage for so long
 RAMP_SHARE = 0.9           # part of the permitted fail-back load that is used
 SPARE = 1.5                # what a destination can do, over its usual traffic, at the least
-LOW = 0.5                  # share of its part of a listed limit under which N doubles
+LOW, RISE = 0.5, 1.6       # under this share of its listed part N doubles; under one it grows so by a success
 LEFT = 0.25                # N does not grow while less than this share of a limit is reported left
 LANE_SHARE = 0.75         # part of the slots that one lane may hold
 RATE_MS = 20000.0          # span over which the usual traffic of a destination is counted
@@ -278,8 +278,7 @@
         return self.leave.line(m.id, now) if self.leave else 0.0
 
     def _expire(self, m: Message, now: float, line: float = 0.0) -> None:
-        """Answer a waiting message that can no longer be delivered in time, or no longer be sent at all."""
-        # Guards clients against silence: what a told wait or its own pause keeps too long is answered now.
+        """Guards clients against silence: what cannot go in time any more, or at all, is answered now."""
         start = max(now + line, m.not_before, self._blocked(m.dest))
         late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts
         if not (m.out or m.done) and (late or start >= self._repeat_by(m)):
@@ -426,8 +425,7 @@
         if call.members == 0:
             e.calls.remove(call)
             self.calls_out -= 1
-            while self.starved:
-                self.dirty[self.starved.popitem()[0]] = None
+            self.dirty, self.starved = self.dirty | dict.fromkeys(reversed(self.starved)), {}
         self._learn(e, call, event, now)
         # Guards connection tables against idle connections of many, but where traffic reuses them.
         if (e.kind in self.crowded or self._seen(e, now) <= 1) and not (e.calls or self.dests[e.dest].queue):
@@ -459,7 +457,7 @@
             lane.usual = sum(lane.latencies) / len(lane.latencies)
             lane.margin = min(MARGIN_MS[2], max(MARGIN_MS[0], float(int(lane.usual * 1.1))))
             self._came_back(e, now)
-            e.crowds, e.ok_sent, e.last_ok = 0, max(e.ok_sent, call.sent), now
+            e.crowds, lane.dry, e.ok_sent, e.last_ok = 0, 0, max(e.ok_sent, call.sent), now
             if event.report.get("x0", 1.0) > LEFT:
                 self._grow(lane, now)
         elif outcome is Outcome.FULL:
@@ -490,9 +488,9 @@
         return lane.total * WINDOW_MS / 1000.0 / self.s.forwarders
 
     def _grow(self, lane: Lane, now: float) -> None:
-        """Widen the ring by one for each clean window that filled it; double it by a success under one."""
+        """Widen the ring by one for each clean window that filled it; under one, by RISE with a success."""
         if lane.n is not None and lane.n < 1.0:
-            lane.n = min(1.0, 2.0 * lane.n)
+            lane.n = min(1.0, max(RISE * lane.n, LEAST[1] * self.many * self._part(lane)))
         elif lane.n is not None and now - lane.grown_at >= WINDOW_MS:
             # Guards against a collapse that outlasts its cause: far under its listed part N doubles.
             step = lane.n if lane.n < LOW * self._part(lane) else 1.0
@@ -506,13 +504,16 @@
 
     def _refused(self, e: Endpoint, sent: float, wait: float, now: float) -> None:
         """Refused as full: lower N, keep a told wait; a long wait means shut."""
-        # Guards a limit of many: N's floor is a share, small ones fall by a quarter, and returns are spread.
+        # Guards a limit of many: N's floor is a share, and returns are spread.
         lane, part = e.lane, self._part(e.lane)
         size = min(lane.n or 1e9, max(1.0, sends_since(lane, now - WINDOW_MS), self.many * part))
         if lane.n is None or lane.n >= max(2.0, 4.0 * self.many):
             lane.n = max(1.0, size - 1.0)
         elif sent > lane.refused_at:  # calls that were out together count once
-            lane.n = max(min(1.0, LEAST[0] / self.s.forwarders), LEAST[1] * self.many * part, 0.75 * size)
+            # Guards a limit that refused calls use up too: in a row they halve N, and its floor by parts.
+            lane.dry, row = min(lane.dry + 1, 3), 0.5 ** lane.dry
+            least = max(min(1.0, LEAST[0] / self.s.forwarders), LEAST[1] * self.many * part * row)
+            lane.n = max(least, max(0.5, 0.75 * row) * size)
         lane.grown_at = lane.refused_at = now
         spread = min(SPREAD_MS[1], SPREAD_MS[0] * self.s.forwarders) / min(1.0, lane.n)
         at = now + (wait + 1.0 if wait > 0 else WINDOW_MS / 5) + spread * self.random.random()
@@ -540,8 +541,7 @@
 
     def _next_trial(self, e: Endpoint, now: float) -> None:
         """Set when the next trial or probe may go, of all endpoints that share the limit."""
-        # Guards a returning destination against trials of many: what came in an outage waits somewhere. Tried
-        # again after a multiple of the outage's length it adds up to a fixed part of the usual traffic.
+        # Guards what returns against trials of many: their pauses grow with the outage, and add up to a part.
         bears = RAMP_SHARE * self.s.overload_factor * self.s.cold_share * SPARE
         pause = 0.0 if e.out_since is None else (now - e.out_since) / bears
         pause = max(self.first_ms, min(pause, self._pace(e, 0.0, now) / len(e.lane.endpoints)))
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -78,6 +78,7 @@
     ring: deque[float] = field(default_factory=lambda: deque(maxlen=512))  # recent send times
     n: Optional[float] = None  # ring size; None is open, under one stretches the window
     least: int = 1  # calls that a ring holds at least: a smaller N stretches its window
+    dry: int = 0  # refusals in a row that lowered N, with no success between
     total: float = 0.0  # calls a second for all forwarders, where told
     blocked_until: float = 0.0
     grown_at: float = 0.0
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -177,7 +177,7 @@
 CLOSING = answer(503, b"", retry_after="2.500", connection="close")
 CUT_LATE = Scenario((Partner("a", 1, "hub", script=(DROP, CLOSING, CLOSING)),),
                     (Message(0.0, "m0", "usage-record"),), (Trouble(Rehearsal.silent, 2400.0, 3),),
-                    # All of its capacity at once: a draw of the pause between trials must not decide the case.
+                    # All of its capacity at once: no draw of a pause between trials decides the case.
                     settings={"limits": {"connect_timeout_ms": 1500.0}, "contract": {"cold_share": 1.0}})
 TOGETHER = replace(CUT_LATE, messages=(*CUT_LATE.messages, Message(1000.0, "m1"), Message(1000.0, "m2")))
 
