--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -490,7 +490,7 @@
     def _grow(self, lane: Lane, now: float) -> None:
         """Widen the ring by one for each clean window that filled it; under one, by RISE with a success."""
         if lane.n is not None and lane.n < 1.0:
-            lane.n = min(1.0, max(RISE * lane.n, LEAST[1] * self.many * self._part(lane)))
+            lane.n = max(min(1.0, RISE * lane.n), LEAST[1] * self.many * self._part(lane))
         elif lane.n is not None and now - lane.grown_at >= WINDOW_MS:
             # Guards against a collapse that outlasts its cause: far under its listed part N doubles.
             step = lane.n if lane.n < LOW * self._part(lane) else 1.0
