--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -194,6 +194,30 @@
         endpoint.listener.close()
 
 
+def test_a_sighup_while_the_process_starts_does_not_end_it() -> None:
+    """Guards a start against the signal's own way, until the program has one: `run` sees to it."""
+    deploy = Path(__file__).parent.parent / "deploy" / "balancer.toml"
+    run = tomllib.loads(deploy.read_text())["run"].replace(".venv/bin/python", sys.executable)
+    with scene() as s:
+        file = s.folder / "config.json"
+        file.write_text(json.dumps({"settings": s.settings, "known": s.discovery.whole()}))
+        marker = s.folder / "begun"
+        (s.folder / "sitecustomize.py").write_text(  # it is run before the program is, and waits for the signal
+            f"import os, time\nopen({str(marker)!r}, 'w').close()\n"
+            f"while os.path.exists({str(marker)!r}):\n    time.sleep(0.01)\n")
+        process = subprocess.Popen(
+            ["/bin/sh", "-c", run], stderr=subprocess.PIPE,
+            env={**os.environ, **s.told, "PYTHONPATH": os.pathsep.join([str(s.folder), os.getcwd()])})
+        s.until(marker.exists)
+        process.send_signal(signal.SIGHUP)
+        marker.unlink()
+        assert process.stderr is not None
+        assert any(b"event=serving" in line for line in process.stderr)
+        process.send_signal(signal.SIGTERM)
+        s.until(lambda: process.poll() is not None)
+        assert process.returncode == 0
+
+
 @pytest.mark.parametrize(("kind", "protocol"), [(smtplib.SMTP, "smtp"), (smtplib.LMTP, "lmtp")])
 def test_a_client_of_the_standard_library_hands_in_mail(kind: type[smtplib.SMTP], protocol: str) -> None:
     with scene() as s:
