Serve ordered classes, probes and load reports on sockets, and worth that falls by halves

On sockets a class that keeps its order was answered 404, as its key stands behind the class in the path; the order key of every message was 0; probes that the module asked for were dropped, so an endpoint that was out stayed so for messages that may run only once; load reports were never read.

- Path `/class/KEY` in a class that keeps its order: without a key, over-long or malformed 400, elsewhere 404.
The key is journalled; the module gets 64 bits of a hash of it.
After a restart the key of what may still run rests.
- A message that ends by a notice is over when that has been heard: Exchange holds back the next one's execution until then, and reports it as never run once its time is up.
- Probes go to /metrics/load where there are reports, else /alive, keep to told waits and to the list, and their own waits bind.
A limit told in an answer or by a probe is used; what is garbled, negative, huge or unlisted is left out.
- worth_at falls by halves where the settings say so; a refusal halves a ring under one at once.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -32,16 +32,17 @@
 LEFT = 0.25                # N does not grow while less than this share of a limit is reported left
 LANE_SHARE = 0.75         # part of the slots that one lane may hold
 RATE_MS = 20000.0          # span over which the usual traffic of a destination is counted
-REPEAT_MS = 150.0          # least part of a window left to a repeat's way: it counts when it arrives
-EDGE_MS = 80.0             # a waiting message is answered this long before its time is up
+EDGE_MS, REPEAT_MS = 80.0, 150.0  # left of its time when a message is answered, of its window to a repeat
 ADVICE_MS = 1000.0         # when to come back with a message that was given up
 RENEW_MS = 300.0           # first pause before a failed message or the list is tried again; doubles
 
 
 def worth_at(m: Message, at: float) -> float:
     """Return what a delivery at this time still earns."""
-    faded = max(0.0, at - m.aim) / max(1.0, m.deadline - m.aim)
-    return m.worth * (1.0 - (1.0 - m.cls.late_worth) * faded) if at < m.deadline else 0.0
+    late, least = max(0.0, at - m.aim), m.cls.late_worth
+    even = 1.0 - (1.0 - least) * late / max(1.0, m.deadline - m.aim)
+    left = max(least, 0.5 ** (late / max(1.0, m.cls.aim_ms))) if m.halves else even
+    return m.worth * left if at < m.deadline else 0.0
 
 
 def sends_since(lane: Lane, at: float) -> int:
@@ -100,6 +101,7 @@
             self._listed(event, now)
         elif isinstance(event, api.Probed) and (e := self.endpoints.get(event.target)):
             e.probing, self.dirty[e.dest] = False, None
+            self._told(e.lane, event.report.get("x1", 0.0))
             if event.outcome is Outcome.OK:
                 self._came_back(e, now)
         elif isinstance(event, (api.Withdrawn, api.Started)) and event.message in self.messages:
@@ -206,9 +208,10 @@
         if m.key:
             self.turns.setdefault(m.key, []).append(m)
         # Guards rule two across a restart: what an earlier life sent counts for the limit and for the window.
-        m.attempts, m.kept = event.attempts, event.kept
+        m.attempts, m.kept, m.halves = event.attempts, event.kept, not self.s.fades_linear
         m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)
         self._later(self._repeat_by(m), m.dest, m.id)
+        self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
         self._expire(m, now, self._line(m, now))
         self._thin(m.dest, now)
         self._shed(now)
@@ -253,8 +256,7 @@
             self._give_up(min(waiting, key=lambda m: worth_at(m, now + self._drain(m.dest, now))), now)
 
     def _thin(self, dest: int, now: float) -> None:
-        """Give up at once the message that earns least where more wait than can be served in their time."""
-        # Guards clients against a queue that its limit cannot drain: held until its time is up, in vain.
+        """Guards clients against a queue that its limit cannot drain: give up at once what earns least."""
         queue, lanes = self.dests[dest].queue, [e.lane for e in self.dests[dest].endpoints if e.ready]
         if not (queue and lanes) or (n := lanes[0].n) is None:
             return
@@ -448,8 +450,7 @@
 
     def _learn(self, e: Endpoint, call: Call, event: api.Settled, now: float) -> None:
         lane, outcome = e.lane, event.outcome
-        if event.report.get("x1", 0.0) > 0:
-            self._told(lane, event.report["x1"])
+        self._told(lane, event.report.get("x1", 0.0))
         if event.wait_ms > 0 and outcome is not Outcome.FULL:  # told beside another outcome it binds as well
             lane.blocked_until = max(lane.blocked_until, now + event.wait_ms + 1.0)
         if outcome is Outcome.OK:
@@ -479,8 +480,8 @@
 
     def _told(self, lane: Lane, total: float) -> None:
         """A told limit is the total of all forwarders: N starts at a part, and looser where many share it."""
-        lane.total = total if lane.total <= 0 else 0.8 * lane.total + 0.2 * total
-        if lane.n is None:
+        lane.total += 0.2 * (total - lane.total) if lane.total and total else total
+        if lane.n is None and total > 0:
             part = self._part(lane)
             lane.n = max(1.0, min(part + LOOSE * part ** 0.5 * self.many, part * self.s.forwarders))
 
@@ -510,10 +511,9 @@
         if lane.n is None or lane.n >= max(2.0, 4.0 * self.many):
             lane.n = max(1.0, size - 1.0)
         elif sent > lane.refused_at:  # calls that were out together count once
-            # Guards a limit that refused calls use up too: in a row they halve N, and its floor by parts.
+            # Guards a limit that refused calls use up too: they halve N, in a row its floor by parts as well.
             lane.dry, row = min(lane.dry + 1, 3), 0.5 ** lane.dry
-            least = max(min(1.0, LEAST[0] / self.s.forwarders), LEAST[1] * self.many * part * row)
-            lane.n = max(least, max(0.5, 0.75 * row) * size)
+            lane.n = max(min(1.0, LEAST[0] / self.s.forwarders), LEAST[1] * self.many * part * row, size / 2)
         lane.grown_at = lane.refused_at = now
         spread = min(SPREAD_MS[1], SPREAD_MS[0] * self.s.forwarders) / min(1.0, lane.n)
         at = now + (wait + 1.0 if wait > 0 else WINDOW_MS / 5) + spread * self.random.random()
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import logging
 import time
@@ -46,6 +47,11 @@
         del table[next(iter(table))]
 
 
+def order_number(key: str) -> int:
+    """The number by which the module knows an order key; 0 for none."""
+    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8).digest(), "little") | 1 if key else 0
+
+
 @dataclass(frozen=True)
 class Instance:
     """An endpoint: who it is, what it serves, and where this courier reaches it."""
@@ -76,6 +82,7 @@
     body: bytes
     retried: bool = False
     envelope: str = ""
+    order: str = ""         # its order key, in a class that keeps its order
     began: float = 0.0      # when the request's first byte was read, on the loop's clock
     traceparent: str = ""   # what the client sent for its trace, as it came
     tracestate: str = ""
@@ -128,6 +135,9 @@
 
     def close_idle(self, instance: str) -> None: ...
 
+    def probe(self, instance: Instance) -> None:
+        """Ask it how it is, then call `Exchange.probed`."""
+
     def halt(self) -> None: ...
 
 
@@ -187,6 +197,8 @@
         self._owed: dict[int, Entry] = {}            # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
         self._out: dict[int, Execution] = {}         # by message
+        self._telling: dict[str, int] = {}  # order keys of which an end is still to be heard, and how many
+        self._behind: dict[str, list[Execution]] = {}  # executions that wait for that
         self._events: list[api.Event] = []
         self._due = self.halted = False
         self.ends = self.given_up = 0  # ends that were decided in this life, and those that are no delivery
@@ -275,7 +287,8 @@
                 return self.refuse(command, no.why, no.after_ms)
             command = replace(command, dest=door.assign(command.id, route, command.dest, now))
         entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
-                      self.wall(command.deadline), command.body, command.retried, command.envelope)
+                      self.wall(command.deadline), command.body, command.retried, command.envelope,
+                      order=command.order)
         began = self.loop.now()
         if self.tracer is not None:
             entry.trace = self.tracer.identify(command) or ""
@@ -384,8 +397,8 @@
         ran_at = None if entry.ran_at is None else self.local(entry.ran_at)
         return api.NewMessage(
             entry.number, self._classes[entry.cls], self._dest(entry.dest), self.local(entry.deadline),
-            self._tenants.get(entry.tenant, 0), 0, entry.retried, entry.sends, ran_at, entry.ran_zone,
-            entry.resumed and not entry.attempts)
+            self._tenants.get(entry.tenant, 0), order_number(entry.order), entry.retried, entry.sends, ran_at,
+            entry.ran_zone, entry.resumed and not entry.attempts)
 
     def withdraw(self, entry: Entry) -> None:
         """The client never heard that its message was taken: it counts for nothing."""
@@ -408,6 +421,8 @@
             return
         if self.tracer is not None:
             self.tracer.ended(entry)
+        if entry.order and entry.state:  # not one that is withdrawn
+            self._heard_of(entry.order)
         if entry.keep_until > self.wall(self.loop.now()):
             self.journal.shorten(entry)
             self.loop.call_at(self.local(entry.keep_until) + 1.0, lambda: self.told(entry))
@@ -500,7 +515,7 @@
                 self.carriers[instance.carrier].close_idle(name)
 
     def report(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float = 0.0,
-               over: str = "", no_slot: bool = False) -> None:
+               over: str = "", no_slot: bool = False, load: Optional[dict[str, float]] = None) -> None:
         """One part of an execution has ended; `over` is the message's end where the instance tells it."""
         if self.halted or entry.number not in execution.open:
             return
@@ -527,7 +542,16 @@
             "id": entry.id, "attempt": attempt, "instance": execution.instance.name, "outcome": outcome.value,
             "took": round(took), "wait": wait_ms})
         self._post(api.Settled(entry.number, attempt, execution.instance.name.encode(), outcome, took,
-                               finished, wait_ms, no_slot))
+                               finished, wait_ms, no_slot, load or {}))
+
+    def probed(self, call: Execution, outcome: Outcome, wait_ms: float = 0.0,
+               load: Optional[dict[str, float]] = None) -> None:
+        """A probe has ended; a wait that its answer tells binds like any other."""
+        if not self.halted:
+            if wait_ms > 0:
+                self.hush(call, wait_ms)
+            took = self.loop.now() - call.sent
+            self._post(api.Probed(call.instance.name.encode(), outcome, took, load or {}))
 
     def begin(self, execution: Execution) -> bool:
         """Tell whether an execution may be written, and if so write down first that it begins.
@@ -555,16 +579,21 @@
         list, or another may have its address; and on repeats, as a window that held when the Controller chose
         may have closed (under a cut a connection comes up at the system's second try, a second later).
         """
-        now = self.loop.now()
-        told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
-        if execution.sent <= told and now < until or not self._stands(execution.instance):
+        if not self.may_go(execution):
             return False
+        now = self.loop.now()
         for at in [at for at, by in enumerate(execution.by) if now >= by][::-1]:
             self.report(execution, execution.parts[at], Outcome.MOOT)
             for parts in (execution.parts, execution.attempts, execution.by):
                 del parts[at]
         return bool(execution.parts)
 
+    def may_go(self, execution: Execution) -> bool:
+        """Tell whether anything may be said to the instance now: told waits, and what the list names."""
+        told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
+        waits = execution.sent <= told and self.loop.now() < until
+        return not waits and self._stands(execution.instance)
+
     def _stands(self, instance: Instance) -> bool:
         """Tell whether the list still names an instance as ready, and under the address that is held here."""
         known = self.instances.get(instance.name)
@@ -660,6 +689,9 @@
         elif isinstance(action, api.Cancel):
             if execution := self._out.get(action.message):
                 self.carriers[execution.instance.carrier].cancel(execution)
+        elif isinstance(action, api.Probe):
+            probed = self.instances[action.target.decode()]
+            self.carriers[probed.carrier].probe(probed)
         elif isinstance(action, api.CloseIdle):
             if instance := self.instances.get(action.target.decode()):
                 self.carriers[instance.carrier].close_idle(instance.name)
@@ -682,6 +714,11 @@
         execution.until = min(execution.until, action.until)
 
     def _begin(self, execution: Execution) -> None:
+        if key := next((e.order for e in execution.parts if e.order in self._telling), ""):
+            # Guards the order of a key: a message that ends by a notice is over when that has been heard.
+            self._behind.setdefault(key, []).append(execution)
+            self.loop.call_at(execution.until, lambda: self._too_long_behind(execution, key))
+            return
         for entry in execution.parts:
             self._out[entry.number] = execution
         if self.tracer is not None:
@@ -689,6 +726,22 @@
             self.tracer.begun(execution)
         self.carriers[execution.instance.carrier].execute(execution)
 
+    def _too_long_behind(self, execution: Execution, key: str) -> None:
+        """Nobody has heard of the end before it in all its time: it never ran."""
+        if execution in self._behind.get(key, ()):
+            self._behind[key].remove(execution)
+            for entry in execution.parts:
+                self.report(execution, entry, Outcome.MOOT)
+
+    def _heard_of(self, key: str) -> None:
+        """The end of a message with this order key has been heard; what waits for that begins."""
+        left = self._telling.pop(key, 0) - 1
+        if left > 0:
+            self._telling[key] = left
+            return
+        for execution in self._behind.pop(key, ()):
+            self._begin(execution)
+
     # Ends
 
     def _decide(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
@@ -710,6 +763,8 @@
         self._tell(entry)
 
     def _tell(self, entry: Entry) -> None:
+        if entry.order:
+            self._telling[entry.order] = self._telling.get(entry.order, 0) + 1
         self.fronts[entry.front].ended(entry)
 
     # The end of the process
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -55,9 +55,12 @@
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 BUSY_MS = (20.0, 16000.0)  # where it turns lists away: first, for each courier of the fleet, and longest
 NOTICES_MOST = 400        # lines in one notice
+LOAD_MOST = 1024          # characters of a load report that are looked at
+PROBE_MS = 1500.0         # a probe is answered within this, or it has failed
 RATE_MOST = 1e6           # calls a second that a list may say a partner takes
 _ID = re.compile(rb"[!-~]{1,200}\Z")
 _DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
+_LOAD = re.compile(r"(?<![^\s,])(\w{1,40})=(\d{1,12}(?:\.\d{1,12})?)(?![^\s,])")
 _TIMEOUT = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])\Z")
 log = logging.getLogger(__name__)
 
@@ -96,6 +99,18 @@
     return 0.0
 
 
+def load_report(text: str, fields: tuple[str, ...]) -> dict[str, float]:
+    """What an endpoint tells of its load, as far as the settings name it: `TEXT x0=0.4, x1=25`.
+
+    Guards pacing against figures that are none: what is garbled, negative, huge or not listed is left out.
+    """
+    found = dict[str, float]()
+    for name, value in _LOAD.findall(text[:LOAD_MOST]):
+        if name in fields and 0.0 <= (figure := float(value)) <= RATE_MOST:
+            found[name] = figure
+    return found
+
+
 def encode_batch(parts: list[Entry]) -> bytes:
     lines = (f"{e.id} {e.key or '-'} {len(e.body)}\r\n".encode() + e.body + b"\r\n" for e in parts)
     return b"".join(lines)
@@ -284,11 +299,15 @@
             if request.method not in ("GET", "HEAD"):
                 raise Refused(405, f"{request.method} /up")
             return (200 if self.ready else 503), [], None
-        if "/" in request.path[1:] or self.exchange.message_class(request.path[1:]) is None:
+        name, keyed, order = request.path[1:].partition("/")
+        cls = self.exchange.message_class(name)
+        if cls is None or (keyed and not cls.in_order) or "/" in order:
             raise Refused(404, f"no class {request.path[:80]}")
         if request.method != "POST":
             raise Refused(405, f"{request.method} {request.path}")
-        command = self._command(request)
+        if cls.in_order and not _ID.match(order.encode("latin-1")):
+            raise Refused(400, "the path names no key, and the class keeps its order")
+        command = self._command(request, name, order)
         if self.exchange.find("platform", command.id) is not None:
             return 202, [], None  # held already, and not this request's to withdraw
         if (state := self._past.get(command.id)) is not None:
@@ -303,8 +322,8 @@
             return 503, [("Retry-After", f"{result.after_ms / 1000.0:.3f}")], None
         return 202, [], result
 
-    def _command(self, request: Request) -> Command:
-        headers, name = request.headers, request.path[1:]
+    def _command(self, request: Request, name: str, order: str) -> Command:
+        headers = request.headers
         cls = self.exchange.message_class(name)
         id, key = headers.get("request-id", ""), headers.get("idempotency-key", "")
         timeout = timeout_ms(headers.get("request-timeout", ""))
@@ -321,7 +340,7 @@
         if (needs_key or key) and not _ID.match(key.encode("latin-1")):
             raise Refused(400, "Idempotency-Key is missing or malformed")
         return Command(id, "platform", name, dest, tenant, key, request.read_at + timeout, request.body,
-                       "client-retry" in headers, began=request.began,
+                       "client-retry" in headers, order=order, began=request.began,
                        traceparent=headers.get("traceparent", ""), tracestate=headers.get("tracestate", ""),
                        handed=headers.get("x-request-start", ""))
 
@@ -578,13 +597,49 @@
     def _settle(self, execution: Execution, reply: Reply) -> None:
         """Report each message of the call by what has come back."""
         wait, busy = wait_ms(reply.headers), reply.headers.get(b"x-line-busy") == b"1"
+        load = self._load(reply)
         ends = decode_batch(bytes(reply.body)) if reply.status == 200 and len(execution.parts) > 1 else None
         for entry in execution.parts:
             end = reply.status if ends is None else ends.get(entry.id, "")
             outcome, over = outcome_of(end, busy)
             if outcome is Outcome.FULL and _crowded(execution, reply, wait):
                 outcome = Outcome.CROWDED
-            self.exchange.report(execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy)
+            self.exchange.report(
+                execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy, load)
+
+    def _load(self, reply: Reply, body: bytes = b"") -> dict[str, float]:
+        """The load report in an answer's head, or in the body of a probe's answer."""
+        if not (fields := self.exchange.settings.report_fields):
+            return {}
+        return load_report((reply.headers.get(b"server-load") or body).decode("latin-1"), fields)
+
+    def probe(self, instance: Instance) -> None:
+        self.loop.spawn(self._probe(instance), "probe")
+
+    def _probe(self, instance: Instance) -> Coroutine[None]:
+        """Ask an instance how it is. To its partner that is a call like any other: it keeps to waits."""
+        began = self.loop.now()
+        call, reply = Execution(instance, began, began + PROBE_MS), Reply()
+        outcome, load = Outcome.CONNECT_FAILED, dict[str, float]()
+        client: Optional[HttpClient] = None
+        try:
+            if (client := self._reuse(instance.name)) is None:
+                limit = min(call.until, began + self.exchange.settings.connect_timeout_ms)
+                client = HttpClient(
+                    (yield from connect(self.loop, instance.address, limit)), instance.address)
+            if not self.exchange.may_go(call):
+                outcome = Outcome.MOOT
+            else:
+                target = "/metrics/load" if self.exchange.settings.report_fields else "/alive"
+                yield from client.ask("GET", target, [], b"", call.until, reply)
+                outcome, _ = outcome_of(reply.status)
+                load = self._load(reply, bytes(reply.body))
+        except (Broken, Expired) as error:
+            outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
+        finally:
+            if client is not None:
+                self._give_back(instance.name, client)
+            self.exchange.probed(call, outcome, wait_ms(reply.headers), load)
 
 
 def _crowded(execution: Execution, reply: Reply, wait: float) -> bool:
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -11,7 +11,7 @@
 from collections import defaultdict
 from typing import Generic, Optional, Protocol, TypeVar
 
-from ashvale.exchange import Exchange, Execution
+from ashvale.exchange import Exchange, Execution, Instance
 from ashvale.interface import Outcome
 from ashvale.loop import Connection, Coroutine, Loop, Task, connect, sleep
 
@@ -65,6 +65,10 @@
         for client, _ in self._idle.pop(instance, []):
             self._drop(client)
 
+    def probe(self, instance: Instance) -> None:
+        """Ask an instance how it is, where its protocol has a way; nothing is known of it then."""
+        self.exchange.probed(Execution(instance, self.loop.now(), self.loop.now()), Outcome.MOOT)
+
     def halt(self) -> None:
         """End every execution and connection; nothing is reported any more."""
         for task in list(self._tasks.values()):
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -27,6 +27,7 @@
     out: int = 0
     done: bool = False
     not_before: float = 0.0
+    halves: bool = False  # its worth falls by half with each further aim, and not evenly
     kept: bool = False  # a restart found it untried: it is tried before it is given up
     maybe_ran: Optional[tuple[float, int]] = None  # send time and zone of the first such attempt
 
