--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -31,6 +31,7 @@
 NACK_MS = 500.0         # when to come back after a refusal at the door
 UNHEARD = float("inf")  # a wait of which the Controller has yet to hear
 SERVED_MOST = 4096      # destinations kept in mind
+ASIDE_MS = 100.0        # how often to look whether this process is alone again; and left for an end's notice
 NAMED_FROM = 1 << 20    # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
 _NUMBERS = {outcome: number for number, outcome in enumerate(Outcome, 1)}
@@ -199,6 +200,7 @@
         self._out: dict[int, Execution] = {}         # by message
         self._telling: dict[str, int] = {}  # order keys of which an end is still to be heard, and how many
         self._behind: dict[str, list[Execution]] = {}  # executions that wait for that
+        self._aside: dict[int, Entry] = {}  # ordered messages of which the module hears once we are alone
         self._events: list[api.Event] = []
         self._due = self.halted = False
         self.ends = self.given_up = 0  # ends that were decided in this life, and those that are no delivery
@@ -249,7 +251,11 @@
 
         Call once fronts and carriers are in place."""
         now = self.loop.now()
-        for entry in list(self.journal.entries.values()) if entries is None else entries:
+        found = self.journal.entries.values() if entries is None else [*entries, *self._aside.values()]
+        for entry in sorted(found, key=lambda entry: entry.taken):  # each key in the order of taking, by both
+            if self._aside.pop(entry.number, None) is not None:
+                self._post(self._new(entry))
+                continue
             if entry.front not in self.fronts:  # stays written down for a start with that front
                 log.error("front no longer configured", extra={"id": entry.id, "front": entry.front})
                 continue
@@ -288,7 +294,7 @@
             command = replace(command, dest=door.assign(command.id, route, command.dest, now))
         entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
                       self.wall(command.deadline), command.body, command.retried, command.envelope,
-                      order=command.order)
+                      order=command.order, taken=self.wall(self.loop.now()) if command.order else 0.0)
         began = self.loop.now()
         if self.tracer is not None:
             entry.trace = self.tracer.identify(command) or ""
@@ -391,8 +397,34 @@
     def _hold(self, entry: Entry) -> None:
         self._owed[entry.number] = entry
         entry.sends = entry.attempts
+        if entry.order and not self._alone:
+            # Guards the order of a key in an upgrade: the other process may hold an earlier message of it.
+            if not self._aside:
+                self.loop.call_at(self.loop.now() + ASIDE_MS, self._look_aside)
+            self._aside[entry.number] = entry
+            self.loop.call_at(self.local(entry.deadline) - ASIDE_MS, lambda: self._end_aside(entry))
+            return
         self._post(self._new(entry))
 
+    @property
+    def _alone(self) -> bool:
+        """True where no other process of this courier runs on its folder."""
+        return not (self.journal.waiting or self.journal.succeeded)
+
+    def _look_aside(self) -> None:
+        """The other process may have ended without leaving anything to be taken over."""
+        if self.halted or not self._aside:
+            return
+        if self._alone:
+            self.resume([])
+        else:
+            self.loop.call_at(self.loop.now() + ASIDE_MS, self._look_aside)
+
+    def _end_aside(self, entry: Entry) -> None:
+        """The other process has outlasted a message, which never ran."""
+        if not self.halted and self._aside.pop(entry.number, None) is not None:
+            self._decide(entry, RETURNED, NACK_MS)
+
     def _new(self, entry: Entry) -> api.NewMessage:
         ran_at = None if entry.ran_at is None else self.local(entry.ran_at)
         return api.NewMessage(
@@ -403,6 +435,7 @@
     def withdraw(self, entry: Entry) -> None:
         """The client never heard that its message was taken: it counts for nothing."""
         if self._owed.pop(entry.number, None):
+            self._aside.pop(entry.number, None)
             self._released(entry)
             self._post(api.Withdrawn(entry.number))
             # Guards the turn against sending what is no longer held: this event overtakes the others.
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -70,6 +70,7 @@
     keep_until: float = 0.0            # the outcome is remembered until then
     sends: int = 0                     # attempts that the module has decided on, begun or not
     order: str = ""                    # its order key; empty where its class keeps no order
+    taken: float = 0.0                 # and when it was taken on
     resumed: bool = False              # an earlier life of the process took it on
     trace: str = ""                    # the message's place in a trace; empty where it is not traced
     # Of a traced message: each execution's begin, instance, outcome (by number), end and told wait; and with
@@ -81,7 +82,8 @@
              "keep_until")
 
     def pack(self) -> bytes:
-        kept = self._KEPT + (("trace", "history") if self.trace else ()) + (("order",) if self.order else ())
+        kept = self._KEPT + (("trace", "history") if self.trace else ())
+        kept += ("order", "taken") if self.order else ()
         head = json.dumps({name: getattr(self, name) for name in kept}, separators=(",", ":")).encode()
         return struct.pack("<I", len(head)) + head + self.body
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 
 import pytest
@@ -10,6 +11,7 @@
 from ashvale.lab.stands import DROP, STALL, Call
 from ashvale.net import platform
 from tests.stage import Endpoint, Scene, answer, batch_ids, request, scene
+from tests.test_main import Program
 
 ORDERED = {
     "categories": [
@@ -209,3 +211,51 @@
             s.rest(20.0)
         s.until(lambda: not s.courier.server or not s.courier.server.listener.open)
         assert s.courier.exchange.idle
+
+
+def test_a_key_keeps_its_order_over_both_processes_of_an_upgrade() -> None:
+    """Clients reach either; what one took while the other ran waits until one is alone."""
+    with scene(**ORDERED) as s:
+        endpoint, other = s.endpoint(answer(503, retry_after="1.500")), s.endpoint(block=2)
+        old = Program(s)
+
+        def hand(program: Program, path: str, id: str, dest: int = 1) -> None:
+            assert program.ask(request(path, id, dest, timeout="19000m")).startswith(b"HTTP/1.1 202 "), id
+
+        hand(old, "orders/k", "k0")
+        s.until(lambda: len(endpoint.calls) == 1)
+        new = Program(s)  # at an address of its own, so that each is asked by name
+        hand(new, "orders/k", "k1")
+        hand(old, "orders/k", "k2")
+        hand(new, "orders/k", "k3")
+        hand(new, "sync", "s0", 2)
+        hand(old, "sync", "s1", 2)
+        s.until(lambda: len(other.calls) == 2)  # what keeps no order does not wait
+        s.until(lambda: len(endpoint.calls) == 2)
+        old.process.send_signal(signal.SIGTERM)
+        s.until(lambda: len(endpoint.calls) == 5)
+        assert ids(endpoint) == ["k0", "k0", "k1", "k2", "k3"] and not s.discovery.notices
+        old.end(signal.SIGTERM)
+        assert "owed=0" in new.end(signal.SIGTERM)
+
+
+def test_an_upgrade_that_is_given_up_leaves_the_old_process_its_ordered_messages() -> None:
+    with scene(**ORDERED) as s:
+        endpoint = s.endpoint()
+        old = Program(s)
+        new = Program(s)
+        assert old.ask(request("orders/k", "k0")).startswith(b"HTTP/1.1 202 ")
+        new.end(signal.SIGKILL)
+        s.until(lambda: len(endpoint.calls) == 1)
+        assert "owed=0" in old.end(signal.SIGTERM)
+
+
+def test_an_ordered_message_that_two_processes_outlast_is_returned_in_time() -> None:
+    with scene(**ORDERED) as s:
+        endpoint = s.endpoint()
+        old, new = Program(s), Program(s)
+        assert old.ask(request("orders/k", "k0", timeout="700m")).startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: bool(s.discovery.notices))
+        assert s.discovery.notices[0]["state"] == "returned" and not endpoint.calls
+        for program in (old, new):
+            program.end(signal.SIGKILL)
