Let a ring that was refused hold one call, so that refusals do not come three at a time

A ring of many holds three calls at least (LEAST), so three calls went one after another, all three were refused, N was halved three times for one full moment, and then nothing went for three windows of N. Now the least of three holds only until a refusal.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -51,7 +51,7 @@
 
 def gate(lane: Lane) -> float:
     """Return when the ring lets the next call go."""
-    size = max(lane.least, int(lane.n or 1.0))
+    size = max(1 if lane.dry else lane.least, int(lane.n or 1.0))  # refused: no calls close together
     if lane.n is None or len(lane.ring) < size:
         return lane.blocked_until
     return max(lane.blocked_until, lane.ring[-size] + WINDOW_MS * size / lane.n + lane.margin)
