--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -28,7 +28,7 @@
 LOSSY_MS = 10000.0         # after a mishap lost answers alone are no outage for so long
 RAMP_SHARE = 0.9           # part of the permitted fail-back load that is used
 SPARE = 1.5                # what a destination can do, over its usual traffic, at the least
-LOW, RISE = 0.5, 1.6       # under this share of its listed part N doubles; under one it grows so by a success
+LOW, RISE = 0.5, 0.4       # under this share of its listed part N doubles; under one less, in vast fleets
 LEFT = 0.25                # N does not grow while less than this share of a limit is reported left
 LANE_SHARE = 0.75         # part of the slots that one lane may hold
 RATE_MS = 20000.0          # span over which the usual traffic of a destination is counted
@@ -128,7 +128,8 @@
             e.kind, self.dirty[e.dest] = kinds.get(e.kind.name, e.kind), None
 
     def _count_forwarders(self, count: int) -> None:  # the more, the less a refusal says of one's own sends
-        self.first_ms, self.many = min(TRIAL_MS[1], TRIAL_MS[0] * count), max(0.0, 1.0 - 4.0 / count)
+        self.first_ms, self.least = min(TRIAL_MS[1], TRIAL_MS[0] * count), min(1.0, LEAST[0] / count)
+        self.many, self.vast = (max(0.0, 1.0 - few / count) for few in (4.0, 20.0))
 
     def _later(self, at: float, dest: int, message: int = -1) -> None:
         """Look at a destination, or at a message, when this time comes."""
@@ -491,7 +492,7 @@
     def _grow(self, lane: Lane, now: float) -> None:
         """Widen the ring by one for each clean window that filled it; under one, by RISE with a success."""
         if lane.n is not None and lane.n < 1.0:
-            lane.n = max(min(1.0, RISE * lane.n), LEAST[1] * self.many * self._part(lane))
+            lane.n = max(min(1.0, (2.0 - RISE * self.vast) * lane.n), LEAST[1] * self.many * self._part(lane))
         elif lane.n is not None and now - lane.grown_at >= WINDOW_MS:
             # Guards against a collapse that outlasts its cause: far under its listed part N doubles.
             step = lane.n if lane.n < LOW * self._part(lane) else 1.0
@@ -505,15 +506,14 @@
 
     def _refused(self, e: Endpoint, sent: float, wait: float, now: float) -> None:
         """Refused as full: lower N, keep a told wait; a long wait means shut."""
-        # Guards a limit of many: N's floor is a share, and returns are spread.
+        # Guards a limit of many, which refused calls may use up: vast fleets halve N, and its floor in a row.
         lane, part = e.lane, self._part(e.lane)
         size = min(lane.n or 1e9, max(1.0, sends_since(lane, now - WINDOW_MS), self.many * part))
         if lane.n is None or lane.n >= max(2.0, 4.0 * self.many):
             lane.n = max(1.0, size - 1.0)
         elif sent > lane.refused_at:  # calls that were out together count once
-            # Guards a limit that refused calls use up too: they halve N, in a row its floor by parts as well.
-            lane.dry, row = min(lane.dry + 1, 3), 0.5 ** lane.dry
-            lane.n = max(min(1.0, LEAST[0] / self.s.forwarders), LEAST[1] * self.many * part * row, size / 2)
+            lane.dry, row = min(lane.dry + 1, 3) if self.vast else 0, 0.5 ** lane.dry
+            lane.n = max(self.least, LEAST[1] * self.many * part * row, (0.75 - 0.25 * self.vast) * size)
         lane.grown_at = lane.refused_at = now
         spread = min(SPREAD_MS[1], SPREAD_MS[0] * self.s.forwarders) / min(1.0, lane.n)
         at = now + (wait + 1.0 if wait > 0 else WINDOW_MS / 5) + spread * self.random.random()
