--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -464,7 +464,9 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
     most: int = BODY_MOST
-    on_head: Callable[[], float] = lambda: FOREVER  # where the rest is still to come: how long it may take
+    # Where the rest is still to come: how long it may take. It is given the reply, as one that held it would
+    # make a ring of references, and calls with their messages would wait for the collector.
+    on_head: Callable[[Reply], float] = lambda _reply: FOREVER
     partial: bool = False  # that was asked
     execution: Optional[Execution] = None  # is told when things happened
 
@@ -499,7 +501,7 @@
                 if event is h11.NEED_DATA:
                     if reply.status and not reply.partial:
                         reply.partial = True
-                        until = min(until, self.connection.loop.now() + reply.on_head())
+                        until = min(until, self.connection.loop.now() + reply.on_head(reply))
                     received = yield from self.connection.receive(until)
                     if reply.execution is not None and not reply.execution.first and received:
                         reply.execution.first = self.connection.loop.now()
@@ -567,7 +569,7 @@
 
     def _ask(self, client: HttpClient, execution: Execution, reply: Reply) -> Coroutine[None]:
         wait = f"{max(1, round(execution.until - self.loop.now()))}m"
-        reply.on_head = lambda: self._first(execution, reply)
+        reply.on_head = lambda reply: self._first(execution, reply)
         if len(execution.parts) > 1:
             body = encode_batch(execution.parts)
             headers = [("Request-Timeout", wait), *self.exchange.trace_headers(execution)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import socket
+import weakref
 from random import Random
 
 import pytest
@@ -455,6 +457,30 @@
         assert not s.discovery.notices
 
 
+def test_a_call_that_is_over_is_freed_without_the_collector() -> None:
+    """Guards memory: calls, each with its messages, waited for the collector, some ten megabytes of them."""
+    kept = list[weakref.ref[Execution]]()
+    with scene() as s:
+        s.endpoint(kind="hub")
+        s.start()
+        execute = s.courier.pool.execute
+
+        def noted(execution: Execution) -> None:
+            kept.append(weakref.ref(execution))
+            execute(execution)
+
+        s.courier.pool.execute = noted  # type: ignore[method-assign]
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(12):
+                s.hand_in()
+            s.until(lambda: s.courier.exchange.idle and not s.courier.exchange._due)
+            assert kept and sum(ref() is not None for ref in kept[:-1]) == 0
+        finally:
+            gc.enable()
+
+
 def test_connections_are_used_again_and_given_up_before_they_expire() -> None:
     with scene(limits={"keepalive_ms": 1000.0}) as s:
         endpoint = s.endpoint()
