--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import logging
 import time
@@ -49,8 +48,8 @@
 
 
 def order_number(key: str) -> int:
-    """The number by which the module knows an order key; 0 for none."""
-    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8).digest(), "little") | 1 if key else 0
+    """The number by which the module knows an order key, its own for each; 0 for none."""
+    return int.from_bytes(key.encode(), "little")
 
 
 @dataclass(frozen=True)
