Give the controller limits that are always there, in place of an optional leave

Decisions are the same: 184 tests of rules, rings, doors, traces and the exchange pass, before and after.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -86,7 +86,7 @@
         self.renew_ms, self.renew_at = RENEW_MS, 0.0 if settings.must_subscribe else 1e18
         self.spent, self.closing_at = [(0.0, 0.0)] * len(settings.tenants), 1e18
         self._count_forwarders(settings.forwarders)
-        self.leave: api.Leave | None = None  # an operator's limits, where there are any
+        self.limits: api.CallLimits = api.Unlimited()  # an operator's
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         """Take one event and return the actions to carry out, in order."""
@@ -189,8 +189,8 @@
         if new and not kind.routes_apart:  # guards a told wait against a list that changes all endpoints
             lane.blocked_until = dest.blocked_until
         fee = fees[line.zone] if line.zone < len(fees) else 0.0
-        e = self.endpoints[line.target] = Endpoint(
-            line.target, line.zone, line.destination, kind, fee, lane, deque(maxlen=MARKS))
+        e = Endpoint(line.target, line.zone, line.destination, kind, fee, lane, deque(maxlen=MARKS))
+        self.endpoints[line.target] = e
         for kin in lane.endpoints:  # guards fail-back: a newcomer shares the trouble of its kin
             e.ramp_from, e.out_since = kin.ramp_from, kin.out_since
         dest.endpoints.append(e)
@@ -269,7 +269,7 @@
 
     def _drain(self, dest: int, now: float) -> float:
         """Return about how long this destination's queue takes; at least a second."""
-        queue, unknown = self.dests[dest].queue, 1.0 if self.leave is None else 1e9
+        queue, unknown = self.dests[dest].queue, 1e9 if self.limits.binding else 1.0
         size = next((e.lane.n for e in self.dests[dest].endpoints if e.lane.n), unknown)
         return max(1000.0, len(queue) * WINDOW_MS / size, self._line(queue[-1], now) if queue else 0.0)
 
@@ -278,7 +278,7 @@
         return min((e.lane.blocked_until for e in self.dests[dest].endpoints if e.ready), default=0.0)
 
     def _line(self, m: Message, now: float) -> float:
-        return self.leave.line(m.id, now) if self.leave else 0.0
+        return self.limits.line(m.id, now)
 
     def _expire(self, m: Message, now: float, line: float = 0.0) -> None:
         """Guards clients against silence: what cannot go in time any more, or at all, is answered now."""
@@ -309,7 +309,7 @@
 
     def _let(self, m: Message, now: float) -> bool:
         """Ask the operator's limits, and look again when they have room."""
-        if self.leave is None or (wait := self.leave.wait(m.id, now)) <= 0.0:
+        if (wait := self.limits.wait(m.id, now)) <= 0.0:
             return True
         if wait > 1e17:  # the end of any call may make room
             self.starved[m.dest] = None
@@ -413,8 +413,7 @@
         until = min(m.deadline - 2 * self.s.tick_ms, now + patience * max(MARGIN_MS[2] * 3, e.lane.usual))
         m.attempts, m.out, m.kept = m.attempts + 1, m.out + 1, False
         self.dests[m.dest].queue.remove(m)
-        if self.leave is not None:
-            self.leave.went(m.id, now)
+        self.limits.went(m.id, now)
         self.actions.append(api.Send(m.id, e.target, until, self._repeat_by(m)))
 
     def _settled(self, event: api.Settled, now: float) -> None:
@@ -423,8 +422,7 @@
         if call is None or m is None:
             return
         call.members, m.out, e, self.dirty[m.dest] = call.members - 1, m.out - 1, call.endpoint, None
-        if self.leave is not None:
-            self.leave.came(m.id, now)
+        self.limits.came(m.id, now)
         if call.members == 0:
             e.calls.remove(call)
             self.calls_out -= 1
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -337,10 +337,10 @@
                     door.hold(entry.number, entry.id, route, entry.tenant, entry.dest, again, now)
                 if execution := self._out.get(entry.number):  # it is out already, and counts as such
                     door.went(entry.number, execution.sent)
-        self.controller.leave = None
+        self.controller.limits = api.Unlimited()
         if self.doors:
             from ashvale.routing.door import Doors
-            self.controller.leave = Doors(self.doors.values())
+            self.controller.limits = Doors(self.doors.values())
 
     def _listed(self) -> None:
         """Tell the doors which destinations have a ready instance."""
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -317,12 +317,15 @@
 Action = Union[Send, Refuse, Fail, Cancel, Wake, Probe, CloseIdle, Subscribe, Log]
 
 
-class Leave(Protocol):
+class CallLimits(Protocol):
     """What an operator's limits let go, over the ring's own pace. It does no I/O and has no clock.
 
     The Controller asks before each send, and tells of the send and of its end. Times are milliseconds.
     """
 
+    binding: bool
+    """True where any limit is set; then a queue's length alone says little of how long it takes."""
+
     def wait(self, message: int, now: float) -> float:
         """Until a call for the message may go: 0 now, infinite where only another's end makes room."""
 
@@ -334,3 +337,21 @@
 
     def came(self, message: int, now: float) -> None:
         """That call has ended."""
+
+
+class Unlimited:
+    """The limits of an operator who has set none."""
+
+    binding = False
+
+    def wait(self, message: int, now: float) -> float:
+        return 0.0
+
+    def line(self, message: int, now: float) -> float:
+        return 0.0
+
+    def went(self, message: int, now: float) -> None:
+        """Nothing is counted."""
+
+    def came(self, message: int, now: float) -> None:
+        """Nothing is counted."""
--- a/ashvale/routing/door.py
+++ b/ashvale/routing/door.py
@@ -3,7 +3,7 @@
 It owns how much of each limit is used and which partner of its pool each message is with, and must never know
 a wire, a clock or the journal. What was taken on stays under the limits that it came under, also when another
 plan comes; a swap opens and closes nothing that is held. A route only narrows: which endpoint is called, and
-whether again, the decision module decides, which asks here for leave before each send (`interface.Leave`).
+whether again, the decision module decides, which asks here before each send (`interface.CallLimits`).
 """
 
 from __future__ import annotations
@@ -151,7 +151,7 @@
         """How many messages a limit holds."""
         return self._limits.meter(name, now).held
 
-    # Leave to go
+    # What may go
 
     def wait(self, message: int, now: float) -> float:
         held = self._held.get(message)
@@ -227,7 +227,9 @@
 
 
 class Doors:
-    """The doors of all fronts as one `interface.Leave`; a message is held by one of them at most."""
+    """The doors of all fronts as one `interface.CallLimits`; a message is held by one of them at most."""
+
+    binding = True
 
     def __init__(self, doors: Iterable[Door]) -> None:
         self._doors = tuple(doors)
--- a/ashvale/trace/reasons.py
+++ b/ashvale/trace/reasons.py
@@ -56,8 +56,8 @@
         if until > at:
             steps.append((until, reason))
             at = until
-    if controller.leave is not None and known is not None and known.queue:
-        wait = min(controller.leave.wait(m.id, now) for m in known.queue)
+    if known is not None and known.queue:
+        wait = min(controller.limits.wait(m.id, now) for m in known.queue)
         if now + wait > at:
             steps.append((min(FOREVER, now + wait), Reason.OWN_LIMIT))
     full = sum(len(x.calls) for x in e.lane.endpoints) >= max(2.0, control.LANE_SHARE * controller.s.slots)
--- a/tests/test_leave.py
+++ b/tests/test_call_limits.py
@@ -29,7 +29,7 @@
     def __init__(self, plan: Plan, outcome: Answer, **changes: object) -> None:
         self.door, self.outcome = Door(plan), outcome
         self.controller = Controller(settings(may_probe=False, **changes), 1)
-        self.controller.leave = Doors([self.door])
+        self.controller.limits = Doors([self.door])
         self.now, self._numbers = 0.0, count(1)
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self.sent: list[Sent] = []
