--- a/ashvale/beside.py
+++ b/ashvale/beside.py
@@ -18,10 +18,10 @@
 
 from ashvale.loop import Loop
 
-LOOK_MS = 25.0       # how often the file is looked at beside another process; partners let 100 ms pass
-ALONE_MS = 1000.0    # and where none is likely
+LOOK_MS = 25.0  # how often the file is looked at beside another process; partners let 100 ms pass
+ALONE_MS = 1000.0  # and where none is likely
 FILE_MOST = 16 * 1024
-ROUTE_MOST = 256     # bytes of a name
+ROUTE_MOST = 256  # bytes of a name
 WAIT_MOST_MS = 3_600_000.0  # what claims to run longer is not from this machine's present life
 log = logging.getLogger(__name__)
 
@@ -29,8 +29,9 @@
 class Waits:
     """The file of told waits. `heard` is told what another process wrote: a route, and until when (ms)."""
 
-    def __init__(self, loop: Loop, folder: Path, beside: bool, likely: bool,
-                 heard: Callable[[str, float], None]) -> None:
+    def __init__(
+        self, loop: Loop, folder: Path, beside: bool, likely: bool, heard: Callable[[str, float], None]
+    ) -> None:
         """`beside`: another process runs on this folder already; `likely`: one may come at any time."""
         self.loop, self.path, self.heard = loop, folder / "waits", heard
         self.every = LOOK_MS if beside or likely else ALONE_MS
@@ -88,8 +89,11 @@
                 continue
             if now < until <= now + WAIT_MOST_MS and until > self._known.get(route, 0.0) + 1.0:
                 self._known[route] = until
-                log.log(logging.INFO if until - now > ALONE_MS else logging.DEBUG,
-                        "wait told to the other process", extra={"route": route, "ms": round(until - now)})
+                log.log(
+                    logging.INFO if until - now > ALONE_MS else logging.DEBUG,
+                    "wait told to the other process",
+                    extra={"route": route, "ms": round(until - now)},
+                )
                 self.heard(route, until)
 
     def _look(self) -> None:
@@ -101,7 +105,7 @@
         self._known = {route: until for route, until in self._known.items() if until > now}
         lines = [b"%.0f %s\n" % (until, route.encode()) for route, until in self._known.items()]
         scratch = self.path.with_name(f"waits.{os.getpid()}")
-        scratch.write_bytes(b"".join(lines)[-FILE_MOST // 2:])
+        scratch.write_bytes(b"".join(lines)[-FILE_MOST // 2 :])
         os.replace(scratch, self.path)
 
     def _clear(self) -> None:
--- a/ashvale/cli/__init__.py
+++ b/ashvale/cli/__init__.py
@@ -37,6 +37,7 @@
 def import_haproxy(file: str) -> None:
     """Make a file for the mail front from HAProxy's configuration."""
     from ashvale import haproxy
+
     sys.exit(haproxy.main([file]))
 
 
@@ -44,6 +45,7 @@
 def rehearse() -> None:
     """Play the scripted cases with a stand-in client and partner."""
     from ashvale import rehearsal
+
     sys.exit(rehearsal.main())
 
 
--- a/ashvale/cli/config.py
+++ b/ashvale/cli/config.py
@@ -110,8 +110,11 @@
 
 @config.command("what-if")
 @click.argument("file", type=click.Path())
-@click.option("--message", default="", help="What is known of it: class=…,network=…,destination=…,sender=…,"
-              "recipient=…,at=HH:MM,id=…")
+@click.option(
+    "--message",
+    default="",
+    help="What is known of it: class=…,network=…,destination=…,sender=…,recipient=…,at=HH:MM,id=…",
+)
 @click.option("--state", multiple=True, help="PARTNER=full, shut or waiting.")
 @click.option("--json", "json_", is_flag=True, help="One JSON object.")
 def what_if(file: str, message: str, state: tuple[str, ...], json_: bool) -> None:
@@ -119,8 +122,12 @@
     from ashvale.config.check import errors
     from ashvale.routing.build import plan
     from ashvale.routing.pools import STATES, choose
-    known = _pairs(message.split(",") if message else [], ("class", "network", "destination", "sender",
-                                                           "recipient", "at", "id"), "--message")
+
+    known = _pairs(
+        message.split(",") if message else [],
+        ("class", "network", "destination", "sender", "recipient", "at", "id"),
+        "--message",
+    )
     states = _pairs(list(state), None, "--state")
     for name, what in states.items():
         if what not in STATES:
@@ -133,15 +140,21 @@
     snapshot = plan(made)
     facts = _facts(known)
     route = snapshot.router.find(facts)
-    told: dict[str, Any] = {"route": route.name if route else None, "passed": [
-        {"route": name, "why": why} for name, why in snapshot.router.why(facts) if why]}
+    told: dict[str, Any] = {
+        "route": route.name if route else None,
+        "passed": [{"route": name, "why": why} for name, why in snapshot.router.why(facts) if why],
+    }
     choice = choose(route, known.get("id", ""), lambda name: states.get(name, "")) if route else None
     if route is not None:
         told |= {"pool": route.pool, "refuse_ms": route.refuse_ms, "policy": route.policy}
     if choice is not None and route is not None:
-        told |= {"partner": choice.partner, "tier": choice.tier, "spilt": list(choice.passed),
-                 "destination": snapshot.destinations.get(choice.partner, ""),
-                 "limits": list(snapshot.limits_of(route, choice.partner, facts.network))}
+        told |= {
+            "partner": choice.partner,
+            "tier": choice.tier,
+            "spilt": list(choice.passed),
+            "destination": snapshot.destinations.get(choice.partner, ""),
+            "limits": list(snapshot.limits_of(route, choice.partner, facts.network)),
+        }
     if json_:
         print(json.dumps(told))
     else:
@@ -160,11 +173,18 @@
 def _facts(known: dict[str, str]) -> Any:
     from ashvale.config.check import hours
     from ashvale.routing.router import Facts
+
     span = hours(f"{known.get('at', '12:00')}-24:00")
     if span is None:
         raise click.BadParameter(f"at={known['at']} is no time of day, HH:MM was expected")
-    return Facts(known.get("class", ""), known.get("network", ""), known.get("destination", ""),
-                 known.get("sender", ""), known.get("recipient", ""), span[0])
+    return Facts(
+        known.get("class", ""),
+        known.get("network", ""),
+        known.get("destination", ""),
+        known.get("sender", ""),
+        known.get("recipient", ""),
+        span[0],
+    )
 
 
 def _tell(told: dict[str, Any]) -> None:
@@ -190,6 +210,7 @@
 def fmt(files: tuple[str, ...], check_: bool, stdin_: bool) -> None:
     """Put files into the one layout; a file that is not TOML is left as it is, with exit code 2."""
     from ashvale.config.layout import Unreadable, layout
+
     changed = unreadable = 0
     if stdin_ == bool(files):
         raise click.UsageError("either files or --stdin")
@@ -199,6 +220,7 @@
             text = layout(file, data).encode()
         except Unreadable as error:
             from ashvale.config.text import Source
+
             for mistake in error.mistakes:
                 print(shown(mistake, {file: Source(file, data)}), file=sys.stderr)
             unreadable += 1
@@ -220,6 +242,7 @@
     """Print the mail front's older file as a set, without loss; exit code 2 where a set cannot say it."""
     from ashvale.config import ConfigError, mail, mailset, read_toml
     from ashvale.config.layout import layout
+
     try:
         root = read_toml(Path(file))
         mail(root, Path(file).name)  # what is wrong with it is told as ever
@@ -239,6 +262,7 @@
     from ashvale.config.check import errors
     from ashvale.config.diff import diff as changes
     from ashvale.config.diff import summary
+
     sets = []
     for file in (old, new):
         made, found = loaded(file)
@@ -250,8 +274,17 @@
     found = changes(*sets)
     if json_:
         for change in found:
-            print(json.dumps({"path": ".".join(change.path), "old": change.old, "new": change.new,
-                              "live": change.live, "effect": change.effect}))
+            print(
+                json.dumps(
+                    {
+                        "path": ".".join(change.path),
+                        "old": change.old,
+                        "new": change.new,
+                        "live": change.live,
+                        "effect": change.effect,
+                    }
+                )
+            )
     else:
         for sign, text, one in summary(found):
             more = [one.effect, "" if one.live else "waits for the next start"]
@@ -263,6 +296,7 @@
 def reference() -> None:
     """Print all tables and keys as a page of Markdown."""
     from ashvale.config.declare import reference
+
     sys.stdout.write(reference())
 
 
--- a/ashvale/cli/fleet.py
+++ b/ashvale/cli/fleet.py
@@ -69,13 +69,19 @@
     if as_json:
         click.echo(json.dumps(found, indent=1))
     elif "term" in found:
-        click.echo(f"fleet {found['fleet']}, as {found['courier']} sees it, "
-                   f"in its incarnation {found['incarnation']}")
-        click.echo(f"leader {found['leader'] or 'nobody'}, term {found['term']}, decided {found['commit']}, "
-                   f"applied {found['applied']}, {found['last'] - found['commit']} open")
+        click.echo(
+            f"fleet {found['fleet']}, as {found['courier']} sees it, "
+            f"in its incarnation {found['incarnation']}"
+        )
+        click.echo(
+            f"leader {found['leader'] or 'nobody'}, term {found['term']}, decided {found['commit']}, "
+            f"applied {found['applied']}, {found['last'] - found['commit']} open"
+        )
         votes = "votes" if found["votes"] else "does not vote"
-        click.echo(f"voters {', '.join(found['voters'])}; {found['courier']} {votes}"
-                   f"{', its folder was lost' * found['lost']}")
+        click.echo(
+            f"voters {', '.join(found['voters'])}; {found['courier']} {votes}"
+            f"{', its folder was lost' * found['lost']}"
+        )
         for lease, held in found["leases"].items():
             click.echo(f"lease {lease}: {held['holder']}, number {held['number']}, {held['ttl_ms']:g} ms")
         _service(found, _ask_leader(found, name))
@@ -97,22 +103,30 @@
     """Who is out of service and why, who waits, and the endpoints that are banned."""
     limits = found["budget"]
     near = f", {limits['out_building']} of a building" if limits["out_building"] else ""
-    click.echo(f"budget: {limits['out']} out at once{near}; {limits['left']} endpoints of a partner stay; "
-               f"{', '.join(limits['quiet']) or 'no'} quiet hours; out now: "
-               f"{', '.join(found['counted_out']) or 'nobody'}")
+    click.echo(
+        f"budget: {limits['out']} out at once{near}; {limits['left']} endpoints of a partner stay; "
+        f"{', '.join(limits['quiet']) or 'no'} quiet hours; out now: "
+        f"{', '.join(found['counted_out']) or 'nobody'}"
+    )
     for courier, permit in found["permits"].items():
         state = "called back, not seen back yet" if permit["back"] else f"out by permit ({permit['kind']})"
         despite = f", DESPITE THE BUDGET: {permit['despite']}" if permit["despite"] else ""
-        click.echo(f"{courier}: {state}, number {permit['number']}, by {permit['who']}: "
-                   f"{permit['why']}{despite}")
+        click.echo(
+            f"{courier}: {state}, number {permit['number']}, by {permit['who']}: {permit['why']}{despite}"
+        )
     for place, one in enumerate(found["queue"], 1):
         click.echo(f"{one['courier']}: waits, place {place}, asked for by {one['who']}: {one['why']}")
     if found["by_hand"]:
         click.echo(f"banned by hand at {found['courier']} alone: {', '.join(found['by_hand'])}")
     for endpoint, ban in leader["bans"].items():
         missing = ban.get("missing")
-        told = ("the leader could not be asked who keeps to it" if missing is None else
-                f"not confirmed by {', '.join(missing)}" if missing else "all couriers keep to it")
+        told = (
+            "the leader could not be asked who keeps to it"
+            if missing is None
+            else f"not confirmed by {', '.join(missing)}"
+            if missing
+            else "all couriers keep to it"
+        )
         click.echo(f"endpoint {endpoint} of {ban['partner']} is banned by {ban['who']}: {ban['why']}; {told}")
 
 
@@ -200,8 +214,13 @@
 
 _why = click.option("--why", required=True, help="The reason; kept in the record.")
 _who = click.option("--who", default=getpass.getuser, help="Who orders it; kept in the record.")
-_despite = click.option("--despite-budget", "despite", default="", metavar="REASON",
-                        help="Set the budget aside, for this reason; it is shown until it ends.")
+_despite = click.option(
+    "--despite-budget",
+    "despite",
+    default="",
+    metavar="REASON",
+    help="Set the budget aside, for this reason; it is shown until it ends.",
+)
 _courier = click.option("--courier", default="", help="Another courier than the one that is asked.")
 _seconds = click.option("--for", "seconds", default=60.0, help="How many seconds to watch for it at most.")
 
@@ -216,11 +235,29 @@
 @click.option("--wait", is_flag=True, help="Wait for its turn, in the order of asking.")
 @click.option("--dry-run", "dry", is_flag=True, help="Only say what would come of it.")
 @click.pass_obj
-def drain(told: tuple[str, str, bool], courier: str, why: str, who: str, despite: str, seconds: float,
-          restart: bool, wait: bool, dry: bool) -> None:
+def drain(
+    told: tuple[str, str, bool],
+    courier: str,
+    why: str,
+    who: str,
+    despite: str,
+    seconds: float,
+    restart: bool,
+    wait: bool,
+    dry: bool,
+) -> None:
     """Send a courier's clients away, if the fleet's budget lets it go."""
-    found = _order(told, "drain", courier=courier, why=why, who=who, despite=despite, wait=wait, dry=dry,
-                   kind="restart" if restart else "drain")
+    found = _order(
+        told,
+        "drain",
+        courier=courier,
+        why=why,
+        who=who,
+        despite=despite,
+        wait=wait,
+        dry=dry,
+        kind="restart" if restart else "drain",
+    )
     if wait and not found["ok"]:
         name = courier or ask(told[0], told[1], "status")["courier"]
         _until(told, seconds, f"{name} is out", lambda now: name in now.get("permits", {}))
@@ -259,13 +296,23 @@
 @click.option("--ends", "ends", default=0.0, help="Seconds after which it ends; it has no end by itself.")
 @click.option("--wait", is_flag=True, help="Until every courier keeps to it.")
 @click.pass_obj
-def ban(told: tuple[str, str, bool], endpoint: str, why: str, who: str, despite: str, seconds: float,
-        ends: float, wait: bool) -> None:
+def ban(
+    told: tuple[str, str, bool],
+    endpoint: str,
+    why: str,
+    who: str,
+    despite: str,
+    seconds: float,
+    ends: float,
+    wait: bool,
+) -> None:
     """Give an endpoint nothing new, from any courier."""
     _order(told, "ban", endpoint=endpoint, why=why, who=who, despite=despite, ends_ms=ends * 1000.0)
     if wait:
+
         def kept(now: dict[str, Any]) -> bool:
             return bool(_ask_leader(now, told[1])["bans"].get(endpoint, {}).get("missing") == [])
+
         _until(told, seconds, f"every courier keeps to the ban of {endpoint}", kept)
 
 
@@ -289,17 +336,36 @@
 @click.option("--warm", type=float, help="Seconds for which a courier has to serve until it counts as back.")
 @click.option("--quiet", multiple=True, metavar="HH:MM-HH:MM", help="UTC; nobody goes then. 'none' for none.")
 @click.pass_obj
-def budget(told: tuple[str, str, bool], why: str, who: str, out: str | None, out_building: str | None,
-           left: str | None, left_building: str | None, apart: float | None, warm: float | None,
-           quiet: tuple[str, ...]) -> None:
+def budget(
+    told: tuple[str, str, bool],
+    why: str,
+    who: str,
+    out: str | None,
+    out_building: str | None,
+    left: str | None,
+    left_building: str | None,
+    apart: float | None,
+    warm: float | None,
+    quiet: tuple[str, ...],
+) -> None:
     """Declare the budget; what is not named stays as it is."""
-    changes = {"out": out, "out_building": out_building, "left": left, "left_building": left_building,
-               "apart_ms": None if apart is None else apart * 1000.0,
-               "warm_ms": None if warm is None else warm * 1000.0,
-               "quiet": ([] if quiet == ("none",) else list(quiet)) if quiet else None}
+    changes = {
+        "out": out,
+        "out_building": out_building,
+        "left": left,
+        "left_building": left_building,
+        "apart_ms": None if apart is None else apart * 1000.0,
+        "warm_ms": None if warm is None else warm * 1000.0,
+        "quiet": ([] if quiet == ("none",) else list(quiet)) if quiet else None,
+    }
     now = ask(told[0], told[1], "status").get("budget", {})
-    _order(told, "budget", why=why, who=who,
-           budget=now | {key: value for key, value in changes.items() if value is not None})
+    _order(
+        told,
+        "budget",
+        why=why,
+        who=who,
+        budget=now | {key: value for key, value in changes.items() if value is not None},
+    )
 
 
 @fleet.group()
@@ -310,6 +376,7 @@
 def _plan(file: str) -> dict[str, Any]:
     """A plan as TOML; times in seconds as `soak` and `step_time`. Ends the process where it is none."""
     import tomllib
+
     try:
         with open(file, "rb") as source:
             told = tomllib.load(source)
@@ -327,8 +394,10 @@
     if not one:
         return "no release is under way"
     plan = one["plan"]
-    title = (f"{plan['name']}: {one['status']}, on its way {one['way']}, wave {one['wave'] + 1} of "
-             f"{len(plan['waves'])}, by {one['who']}: {one['why']}")
+    title = (
+        f"{plan['name']}: {one['status']}, on its way {one['way']}, wave {one['wave'] + 1} of "
+        f"{len(plan['waves'])}, by {one['who']}: {one['why']}"
+    )
     table = Table("wave", "courier", "state", "way", "why", title=title, box=None, caption=one["note"])
     for number, wave in enumerate(plan["waves"], 1):
         for name in wave:
@@ -375,6 +444,7 @@
     from rich.live import Live
 
     from ashvale.cli.report import Samples, page
+
     status = ask(told[0], told[1], "status")
     found, samples = status.get("release"), Samples()
     with Live(_show(found), console=Console()) as live:
@@ -419,9 +489,10 @@
 
 
 for _verb, _text in (
-        ("halt", "Begin nothing more; steps that have begun end."),
-        ("resume", "Go on where it halted; whoever failed is tried again."),
-        ("back", "Those that were touched go back, from the last wave on."),
-        ("skip", "Leave one courier as it is."),
-        ("abandon", "End it where it stands.")):
+    ("halt", "Begin nothing more; steps that have begun end."),
+    ("resume", "Go on where it halted; whoever failed is tried again."),
+    ("back", "Those that were touched go back, from the last wave on."),
+    ("skip", "Leave one courier as it is."),
+    ("abandon", "End it where it stands."),
+):
     _steering(_verb, _text)
--- a/ashvale/cli/lab.py
+++ b/ashvale/cli/lab.py
@@ -37,14 +37,21 @@
 
 @lab.command()
 @click.argument("name", type=click.Choice(sorted(SCENARIOS)))
-@click.option("--fault", nargs=2, type=(int, click.Choice(FAULTS)), multiple=True,
-              help="Number of the call to the disk, and what befalls it.")
+@click.option(
+    "--fault",
+    nargs=2,
+    type=(int, click.Choice(FAULTS)),
+    multiple=True,
+    help="Number of the call to the disk, and what befalls it.",
+)
 def run(name: str, fault: tuple[tuple[int, str], ...]) -> None:
     """Play one scenario."""
     result = play(replace(SCENARIOS[name], faults=dict(fault)))
     click.echo(f"{name}: {_told(result)}")
-    click.echo(f"{result.virtual_ms / 1000:.1f} s in {result.real_ms / 1000:.2f} s, "
-               f"{result.writes} calls to the disk, edges {result.digest}, disk {result.written}")
+    click.echo(
+        f"{result.virtual_ms / 1000:.1f} s in {result.real_ms / 1000:.2f} s, "
+        f"{result.writes} calls to the disk, edges {result.digest}, disk {result.written}"
+    )
     _broken(result)
     sys.exit(1 if result.broken else 0)
 
@@ -54,6 +61,7 @@
 def hunt(seeds: str) -> None:
     """Draw scenarios, play them, and shrink what breaks a rule."""
     from ashvale.lab.hunt import hunt as search
+
     first, _, last = seeds.partition(":")
     found, numbers = 0, range(int(first), int(last or int(first) + 1))
     with click.progressbar(numbers, label="seeds", file=sys.stderr) as bar:
@@ -93,6 +101,7 @@
 def agree(seeds: str, voters: int, followers: int) -> None:
     """Play fleets that agree, with kills, stalls, cuts and lost folders drawn from each seed."""
     from ashvale.lab.fleet import play as play_fleet
+
     first, _, last = seeds.partition(":")
     numbers, broken = range(int(first), int(last or int(first) + 1)), 0
     with click.progressbar(numbers, label="seeds", file=sys.stderr) as bar:
@@ -116,6 +125,7 @@
     from ashvale.lab.relay import SILENT
     from ashvale.lab.rig import Rig
     from ashvale.lab.stands import STALL
+
     began, events = time.monotonic(), list[dict[str, object]]()
 
     def tell(what: str) -> None:
@@ -179,6 +189,7 @@
     from pathlib import Path
 
     from ashvale.lab.campaign import play as play_campaign
+
     with tempfile.TemporaryDirectory() as folder:
         broken, counts = play_campaign(Path(folder), couriers, seed, seconds, click.echo)
     click.echo(", ".join(f"{name} {count}" for name, count in sorted(counts.items())))
--- a/ashvale/cli/report.py
+++ b/ashvale/cli/report.py
@@ -78,8 +78,10 @@
             rows.append(f"<tr><td>{number}<td>{text(name)}<td>{seen}<td>{why}")
     took = samples.rows[-1][0] if samples.rows else 0.0
     names = sorted({name for _, _, health in samples.rows for name in health})
-    owed = {name: [(round(at, 1), float(health[name][2])) for at, _, health in samples.rows if name in health]
-            for name in names}
+    owed = {
+        name: [(round(at, 1), float(health[name][2])) for at, _, health in samples.rows if name in health]
+        for name in names
+    }
     return (
         "<!doctype html><meta charset=utf-8><title>" + text(plan["name"]) + "</title>"
         "<style>body{font:15px sans-serif;margin:2em;max-width:70em}"
@@ -87,6 +89,9 @@
         f"<h1>{text(plan['name'])}: {text(release['note'] or release['status'])}</h1>"
         f"<p>Step {text(plan['step'])}, by {text(release['who'])}: {text(release['why'])}. "
         f"Watched for {took:.0f} s, its way {text(release['way'])}.</p>"
-        "<table><tr><th>wave<th>courier<th>seen<th>why" + "".join(rows) + "</table>"
+        "<table><tr><th>wave<th>courier<th>seen<th>why"
+        + "".join(rows)
+        + "</table>"
         + _plot("share of ends that were given up", {n: samples.shares(n) for n in names})
-        + _plot("messages owed", owed))
+        + _plot("messages owed", owed)
+    )
--- a/ashvale/cli/trace.py
+++ b/ashvale/cli/trace.py
@@ -60,6 +60,7 @@
 
 def _readable(command: Callable[..., None]) -> Callable[..., None]:
     """One line and exit code 2 for what cannot be read."""
+
     @wraps(command)
     def run(*args: Any, **kwargs: Any) -> None:
         try:
@@ -69,12 +70,14 @@
         except (OSError, Damaged) as error:
             print(f"ashvale: {error}", file=sys.stderr)
             sys.exit(2)
+
     return run
 
 
 def _chosen(command: Callable[..., None]) -> Callable[..., None]:
     """The options by which traces are chosen."""
-    for option in reversed([
+    for option in reversed(
+        [
             click.option("--folder", help="The folder of traces, of one courier or of several."),
             click.option("--end", "ends", multiple=True, type=click.Choice(OUTCOMES), help="By outcome."),
             click.option("--class", "cls", help="By class."),
@@ -84,7 +87,9 @@
             click.option("--since", help="Begun since: 10m, an ISO date and time, or Unix seconds."),
             click.option("--until", help="Begun before."),
             click.option("--late-over", type=float, help="Late by more than so many milliseconds."),
-            click.option("--took-over", type=float, help="Took more than so many milliseconds.")]):
+            click.option("--took-over", type=float, help="Took more than so many milliseconds."),
+        ]
+    ):
         command = option(command)
     return command
 
@@ -92,30 +97,47 @@
 class Choice:
     """The traces that the options choose, and what the reading met besides."""
 
-    def __init__(self, folder: Optional[str], ends: tuple[str, ...], cls: Optional[str], dest: Optional[str],
-                 network: Optional[str], courier: Optional[str], since: Optional[str], until: Optional[str],
-                 late_over: Optional[float], took_over: Optional[float]) -> None:
+    def __init__(
+        self,
+        folder: Optional[str],
+        ends: tuple[str, ...],
+        cls: Optional[str],
+        dest: Optional[str],
+        network: Optional[str],
+        courier: Optional[str],
+        since: Optional[str],
+        until: Optional[str],
+        late_over: Optional[float],
+        took_over: Optional[float],
+    ) -> None:
         from ashvale.trace.reader import Stock
+
         self.root, self.stock = where(folder), Stock()
         self.ends, self.cls, self.dest, self.network, self.courier = ends, cls, dest, network, courier
         self.since, self.until = moment(since, 0.0), moment(until, float("inf"))
         self.late_over, self.took_over = late_over, took_over
 
     def fits(self, t: Any) -> bool:
-        return ((not self.ends or t.outcome in self.ends) and self.cls in (None, t.cls)
-                and self.dest in (None, t.dest) and self.network in (None, t.tenant)
-                and self.courier in (None, t.courier)
-                and (self.late_over is None or t.late > self.late_over)
-                and (self.took_over is None or t.total > self.took_over))
+        return (
+            (not self.ends or t.outcome in self.ends)
+            and self.cls in (None, t.cls)
+            and self.dest in (None, t.dest)
+            and self.network in (None, t.tenant)
+            and self.courier in (None, t.courier)
+            and (self.late_over is None or t.late > self.late_over)
+            and (self.took_over is None or t.total > self.took_over)
+        )
 
     def traces(self, details: bool = True) -> Iterator[Any]:
         from ashvale.trace.reader import read_all
+
         found = read_all(self.root, self.stock, self.since, self.until, details=details)
         return (t for t in found if self.fits(t))
 
     def gaps(self) -> None:
         """Say on standard error what is not there."""
         from ashvale.trace.show import missing_lines
+
         for line in missing_lines(self.stock):
             print(line, file=sys.stderr)
 
@@ -135,6 +157,7 @@
     from collections import deque
 
     from ashvale.trace import show
+
     choice = Choice(**options)
     found = deque(choice.traces(), maxlen=limit or None)
     if as_json:
@@ -155,6 +178,7 @@
     """Show one message, by its id or its trace's, as a waterfall: exit code 1 where there is none."""
     from ashvale.trace import show
     from ashvale.trace.reader import Stock, read_all
+
     found = sorted(read_all(where(folder), Stock(), id=id), key=lambda t: t.start)
     for t in found:
         print(show.as_json(t)) if as_json else show.waterfall(t)
@@ -172,6 +196,7 @@
     """Where the time went, by destination and reason, and what made messages late."""
     from ashvale.trace import show
     from ashvale.trace.report import build
+
     choice = Choice(**options)
     made = build(choice.traces(details=False))
     if as_json:
@@ -189,6 +214,7 @@
     """What the folder holds, by courier and stream, and what is missing from it."""
     from ashvale.trace import show
     from ashvale.trace.reader import Stock, couriers, shelves
+
     root, stock = where(folder), Stock()
     show.shelf_table(shelves(root))
     for place in couriers(root):
@@ -205,6 +231,7 @@
 def export(form: str, limit: int, **options: Any) -> None:
     """Write traces to standard output as OTLP JSON, or for Chrome's trace viewer."""
     from ashvale.trace import export as forms
+
     choice = Choice(**options)
     chosen = choice.traces()
     pieces = (forms.otlp if form == "otlp" else forms.chrome)(islice(chosen, limit) if limit else chosen)
@@ -223,6 +250,7 @@
     """Print traces as they are written, until interrupted."""
     from ashvale.trace import show
     from ashvale.trace.reader import follow
+
     choice = Choice(**options)
     end = time.monotonic() + seconds if seconds is not None else float("inf")
 
--- a/ashvale/config/__init__.py
+++ b/ashvale/config/__init__.py
@@ -29,6 +29,30 @@
     with_mail,
 )
 
-__all__ = ["GOOD_MAIL", "GOOD_SET", "MAIL_CLASS", "MAIL_KIND", "OWN_FILE", "Config", "ConfigError", "Fleet",
-           "Limits", "Listen", "Mail", "MailInstance", "Platform", "Rule", "Trace", "address", "get",
-           "has_set", "load", "mail", "parse", "read_toml", "settings", "trace", "with_mail"]
+__all__ = [
+    "GOOD_MAIL",
+    "GOOD_SET",
+    "MAIL_CLASS",
+    "MAIL_KIND",
+    "OWN_FILE",
+    "Config",
+    "ConfigError",
+    "Fleet",
+    "Limits",
+    "Listen",
+    "Mail",
+    "MailInstance",
+    "Platform",
+    "Rule",
+    "Trace",
+    "address",
+    "get",
+    "has_set",
+    "load",
+    "mail",
+    "parse",
+    "read_toml",
+    "settings",
+    "trace",
+    "with_mail",
+]
--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -130,16 +130,20 @@
 
     def after(self, old: Config) -> Config:
         """The same, sharing with what was in force all of the sets that has not changed."""
-        plans = {name: before.followed_by(now) for name in ("plan", "mail_plan")
-                 if (now := getattr(self, name)) and (before := getattr(old, name))}
+        plans = {
+            name: before.followed_by(now)
+            for name in ("plan", "mail_plan")
+            if (now := getattr(self, name)) and (before := getattr(old, name))
+        }
         return replace(self, **plans)
 
     @property
     def journal_bytes(self) -> int:
         """What is left of the disk for the journal where traces lie in the same folder."""
         shared = self.trace is not None and self.trace.folder.resolve().is_relative_to(self.state.resolve())
-        kept = sum(2 * sum(map(len, files.values())) + 4096 for files in (self.sources, self.mail_sources)
-                   if files)
+        kept = sum(
+            2 * sum(map(len, files.values())) + 4096 for files in (self.sources, self.mail_sources) if files
+        )
         return self.limits.disk_bytes - kept - (self.trace.budget if self.trace is not None and shared else 0)
 
 
@@ -152,8 +156,12 @@
     root, made = _mail_file(file, environ, anew) if file.exists() or "ASHVALE_MAIL" in environ else ({}, None)
     front = mail(root, file.name)
     if front is not None and made is not None and made.plan is not None:
-        front = replace(front, receivers=tuple(
-            replace(rule, route=route) for rule, route in zip(front.receivers, made.routes, strict=True)))
+        front = replace(
+            front,
+            receivers=tuple(
+                replace(rule, route=route) for rule, route in zip(front.receivers, made.routes, strict=True)
+            ),
+        )
     if front is not None and sum(where.most for where in front.listen) > SOCKETS // 2:
         raise ConfigError(f"{file.name}: key 'connections' adds up to more than {SOCKETS // 2}")
     if environ.get("LB_CONFIG"):
@@ -166,22 +174,44 @@
     where = f"{file.name}: limits"
     disk = least(limits, "disk_mb", float, float(DISK_MB), 0.2, where)
     told = Config(
-        name=front.hostname, state=_state(environ.get("LB_STATE") or get(root, "state", str, "", file.name)),
-        seed=0, limits=Limits(least(limits, "sockets", int, SOCKETS, 64, where), int(disk * 1_000_000)),
-        settings=with_mail(None, front), platform=None, mail=front)
+        name=front.hostname,
+        state=_state(environ.get("LB_STATE") or get(root, "state", str, "", file.name)),
+        seed=0,
+        limits=Limits(least(limits, "sockets", int, SOCKETS, 64, where), int(disk * 1_000_000)),
+        settings=with_mail(None, front),
+        platform=None,
+        mail=front,
+    )
     return _with_trace(_with_set(told, made), environ, anew)
 
 
 def _with_set(told: Config, made: Optional[MailSet]) -> Config:
     """Add what the mail front's set has beyond the older tables."""
-    return told if made is None else replace(
-        told, mail_plan=made.plan if told.mail is not None else None, mail_sources=made.sources)
-
-
-_OWN_KEYS = {"trace": {"enabled", "folder", "budget", "age", "share", "slowest", "details", "live",
-                       "mail_headers"}, "log": {"level", "form"},
-             "fleet": {"name", "courier", "listen", "peer", "election", "beat", "drift", "every", "suspect",
-                       "follow", "version", "step"}}
+    return (
+        told
+        if made is None
+        else replace(told, mail_plan=made.plan if told.mail is not None else None, mail_sources=made.sources)
+    )
+
+
+_OWN_KEYS = {
+    "trace": {"enabled", "folder", "budget", "age", "share", "slowest", "details", "live", "mail_headers"},
+    "log": {"level", "form"},
+    "fleet": {
+        "name",
+        "courier",
+        "listen",
+        "peer",
+        "election",
+        "beat",
+        "drift",
+        "every",
+        "suspect",
+        "follow",
+        "version",
+        "step",
+    },
+}
 VOTERS_MOST, PEERS_MOST = 7, 512
 COURIERS_MOST = 5000
 
@@ -212,8 +242,15 @@
     mail = told.mail
     if mail is not None and found is not None and found.mail_headers:
         mail = replace(mail, trace_headers=True)
-    return replace(told, trace=found, mail=mail, plan=plan, sources=sources, log=_log(root, file.name),
-                   fleet=fleet(root, told, file.name))
+    return replace(
+        told,
+        trace=found,
+        mail=mail,
+        plan=plan,
+        sources=sources,
+        log=_log(root, file.name),
+        fleet=fleet(root, told, file.name),
+    )
 
 
 def fleet(root: Any, told: Config, what: str) -> Optional[Fleet]:
@@ -233,8 +270,12 @@
             if key not in ("name", "address", "votes", "building"):
                 raise ConfigError(f"{at}: unknown key '{key}'")
         where_at = address(get(line, "address", str, what=at), "address", at)
-        one = Peer(get(line, "name", str, what=at), where_at,
-                   get(line, "votes", bool, False, at), get(line, "building", str, "", at))
+        one = Peer(
+            get(line, "name", str, what=at),
+            where_at,
+            get(line, "votes", bool, False, at),
+            get(line, "building", str, "", at),
+        )
         if len(one.building) > 60:
             raise ConfigError(f"{at}: key 'building' is longer than 60 characters")
         if not one.name or len(one.name) > 60 or "/" in one.name or one.name in names:
@@ -251,8 +292,10 @@
     if not voters:
         raise ConfigError(f"{where}: key 'votes' is set at no peer, so no majority is possible")
     if voters > VOTERS_MOST or len(peers) > PEERS_MOST:
-        raise ConfigError(f"{where}: key 'peer' lists {len(peers)} with {voters} that vote, at most "
-                          f"{PEERS_MOST} and {VOTERS_MOST} were expected")
+        raise ConfigError(
+            f"{where}: key 'peer' lists {len(peers)} with {voters} that vote, at most "
+            f"{PEERS_MOST} and {VOTERS_MOST} were expected"
+        )
     if voters % 2 == 0:
         log.warning("an even number of voters bears no more losses than one less", extra={"voters": voters})
     listen = get(table, "listen", str, "", where)
@@ -261,20 +304,27 @@
     if (other := taken.get(listen_at)) is not None:
         raise ConfigError(f"{where}: key 'listen' is the address of {other} already")
     made = Fleet(
-        get(table, "name", str, what=where), own, listen_at, tuple(peers),
+        get(table, "name", str, what=where),
+        own,
+        listen_at,
+        tuple(peers),
         _quantity(table, "election", "time", "1 s", 50.0, where),
         _quantity(table, "beat", "time", "200 ms", 10.0, where),
         _quantity(table, "drift", "share", "1 %", 0.0, where),
         _quantity(table, "every", "time", "500 ms", 10.0, where),
         _quantity(table, "suspect", "time", "3 s", 50.0, where),
         _quantity(table, "follow", "time", "1 s", 10.0, where),
-        get(table, "version", str, "", where), _steps(table, where))
+        get(table, "version", str, "", where),
+        _steps(table, where),
+    )
     if not made.name or "/" in made.name or len(made.name) > 60:
         raise ConfigError(f"{where}: key 'name' is '{made.name}', a short name without '/' was expected")
     if made.drift > 0.2:
         raise ConfigError(f"{where}: key 'drift' is above 20 %")
-    for key, value, times, over in (("election", made.election_ms, 3.0, "beat"),
-                                    ("suspect", made.suspect_ms, 2.0, "every")):
+    for key, value, times, over in (
+        ("election", made.election_ms, 3.0, "beat"),
+        ("suspect", made.suspect_ms, 2.0, "every"),
+    ):
         if value < times * getattr(made, f"{over}_ms"):
             raise ConfigError(f"{where}: key '{key}' is below {times:g} times '{over}'")
     return made
@@ -290,8 +340,11 @@
         for key in line:
             if key not in ("run", "back"):
                 raise ConfigError(f"{at}: unknown key '{key}'")
-        words = {key: get(line, key, list, default, at) for key, default in (("run", None), ("back", []))
-                 if key in line or default is not None}
+        words = {
+            key: get(line, key, list, default, at)
+            for key, default in (("run", None), ("back", []))
+            if key in line or default is not None
+        }
         if not words.get("run"):
             raise ConfigError(f"{at}: key 'run' is missing or empty, the words of a command were expected")
         if not all(isinstance(word, str) and word for key in words for word in words[key]):
@@ -322,10 +375,15 @@
     if share > 1.0:
         raise ConfigError(f"{where}: key 'share' is above 100 %")
     found = Trace(
-        folder, int(_quantity(table, "budget", "size", "512 KB", 66000.0, where)),
-        _quantity(table, "age", "time", "72 h", 1000.0, where), share,
-        least(table, "slowest", int, 2, 0, where), least(table, "details", int, 20, 0, where),
-        least(table, "live", int, 4096, 1, where), get(table, "mail_headers", bool, False, where))
+        folder,
+        int(_quantity(table, "budget", "size", "512 KB", 66000.0, where)),
+        _quantity(table, "age", "time", "72 h", 1000.0, where),
+        share,
+        least(table, "slowest", int, 2, 0, where),
+        least(table, "details", int, 20, 0, where),
+        least(table, "live", int, 4096, 1, where),
+        get(table, "mail_headers", bool, False, where),
+    )
     if not get(table, "enabled", bool, False, where):
         return None
     if 2 * replace(told, trace=found).journal_bytes < told.limits.disk_bytes:
@@ -333,8 +391,19 @@
     return found
 
 
-SET_TABLES = {"include", "let", "courier", "partner", "pool", "route", "network", "policy", "limit",
-              "default", "override"}
+SET_TABLES = {
+    "include",
+    "let",
+    "courier",
+    "partner",
+    "pool",
+    "route",
+    "network",
+    "policy",
+    "limit",
+    "default",
+    "override",
+}
 
 
 def _mail_file(file: Path, environ: Mapping[str, str], anew: bool) -> tuple[Any, Optional[MailSet]]:
@@ -416,12 +485,20 @@
         raise ConfigError(f"config: key 'seed' is no hexadecimal number: '{seed}'") from None
     return Config(
         name=environ.get("LB_NAME") or get(root, "name", str, "courier", "config"),
-        state=_state(environ.get("LB_STATE", "")), seed=number,
-        limits=Limits(least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
-                      int(least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6)),
+        state=_state(environ.get("LB_STATE", "")),
+        seed=number,
+        limits=Limits(
+            least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
+            int(least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6),
+        ),
         settings=settings(get(root, "settings", dict, what="config")),
-        platform=Platform(address(listen, "listen"), address(discovery, "discovery"),
-                          get(root, "known", dict, {}, "config"), _operator(environ, root, listen)))
+        platform=Platform(
+            address(listen, "listen"),
+            address(discovery, "discovery"),
+            get(root, "known", dict, {}, "config"),
+            _operator(environ, root, listen),
+        ),
+    )
 
 
 def _operator(environ: Mapping[str, str], root: Any, listen: str) -> Optional[tuple[str, int]]:
@@ -440,11 +517,17 @@
     if effect not in _EFFECTS:
         raise ConfigError(f"settings: key 'repeat' has the unknown value '{effect}'")
     return api.MessageClass(
-        name=get(data, "name", str, ""), effect=_EFFECTS[effect],
-        aim_ms=get(data, "objective_ms", float), deadline_ms=get(data, "give_up_ms", float),
-        worth=get(data, "worth", float, 1.0), late_worth=get(data, "late_worth", float, 0.0),
-        group=get(data, "key_scope", str, "all"), window_ms=get(data, "dedup_window_ms", float, 0.0),
-        stream=get(data, "stream", bool, False), in_order=get(data, "keep_order", bool, False))
+        name=get(data, "name", str, ""),
+        effect=_EFFECTS[effect],
+        aim_ms=get(data, "objective_ms", float),
+        deadline_ms=get(data, "give_up_ms", float),
+        worth=get(data, "worth", float, 1.0),
+        late_worth=get(data, "late_worth", float, 0.0),
+        group=get(data, "key_scope", str, "all"),
+        window_ms=get(data, "dedup_window_ms", float, 0.0),
+        stream=get(data, "stream", bool, False),
+        in_order=get(data, "keep_order", bool, False),
+    )
 
 
 def _kinds(root: Any, info: Any) -> tuple[api.Kind, ...]:
@@ -454,8 +537,13 @@
         raise ConfigError("settings: key 'per_call' holds other than whole numbers above nought")
     count = max(len(names), len(calls), len(apart), 1)
     return tuple(
-        api.Kind(str(names[i]) if i < len(names) else "", int(calls[i]) if i < len(calls) else 1,
-                 bool(apart[i]) if i < len(apart) else False) for i in range(count))
+        api.Kind(
+            str(names[i]) if i < len(names) else "",
+            int(calls[i]) if i < len(calls) else 1,
+            bool(apart[i]) if i < len(apart) else False,
+        )
+        for i in range(count)
+    )
 
 
 def _fees(values: list[Any]) -> tuple[float, ...]:
@@ -478,24 +566,30 @@
     info, report = get(root, "family_info", dict, {}), get(root, "report", dict, {})
     classes = tuple(_class(item) for item in get(root, "categories", list))
     tenants = tuple(
-        api.Tenant(get(t, "name", str, ""), get(t, "portion", float, 1.0),
-                   get(t, "quota_per_s", float, 0.0))
-        for t in get(root, "tenants", list, []))
+        api.Tenant(get(t, "name", str, ""), get(t, "portion", float, 1.0), get(t, "quota_per_s", float, 0.0))
+        for t in get(root, "tenants", list, [])
+    )
     return api.Settings(
-        classes=classes, kinds=_kinds(root, info), tenants=tenants,
+        classes=classes,
+        kinds=_kinds(root, info),
+        tenants=tenants,
         forwarders=_fleet_size(root),
         number=least(root, "slot_no", int, 0, 0, "settings"),
-        slots=get(info, "max_calls", int, 1 << 16), max_open=get(limits, "max_open", int, 1 << 20),
+        slots=get(info, "max_calls", int, 1 << 16),
+        max_open=get(limits, "max_open", int, 1 << 20),
         max_attempts=get(limits, "most_tries", int),
         max_backoff_ms=get(limits, "max_retry_after_ms", float, 0.0),
-        may_probe=get(limits, "probing", bool, False), may_cancel=get(limits, "may_cancel", bool, False),
+        may_probe=get(limits, "probing", bool, False),
+        may_cancel=get(limits, "may_cancel", bool, False),
         may_copy=get(limits, "second_copies", bool, False),
-        may_advise=get(limits, "retry_after", bool, False), may_note=get(limits, "peers", bool, False),
+        may_advise=get(limits, "retry_after", bool, False),
+        may_note=get(limits, "peers", bool, False),
         must_subscribe=get(root, "membership_mode", str, "automatic") == "subscribe",
         listed_rates=get(root, "weight_kind", str, "off") in ("nominal", "rough"),
         report_fields=tuple(str(name) for name in get(report, "fields", list, [])),
         fades_linear=get(info, "fades", str, "linear") == "linear",
-        over_share_worth=get(root, "over_share_worth", float, 1.0), zone=get(root, "zone", int, 0),
+        over_share_worth=get(root, "over_share_worth", float, 1.0),
+        zone=get(root, "zone", int, 0),
         zone_fees=_fees(get(info, "zone_fee", list, [])),
         zones=tuple(str(name) for name in get(root, "zones", list, [])),
         calls_per_connection=get(limits, "streams_per_conn", int, 1),
@@ -507,7 +601,8 @@
         warm_up_ms=get(rules, "warm_up_ms", float, 10000.0),
         overload_factor=get(rules, "overload_factor", float, 2.0),
         overload_for_ms=get(rules, "overload_for_ms", float, 1000.0),
-        order_settle_ms=get(rules, "order_settle_ms", float, 0.0))
+        order_settle_ms=get(rules, "order_settle_ms", float, 0.0),
+    )
 
 
 @dataclass(frozen=True)
@@ -562,10 +657,31 @@
 MAIL_CLASS, MAIL_KIND = "mail/", "mail"
 MAIL_SIZE, MAIL_SIZE_MOST = 64 * 1024, 256 * 1024
 _MAIL_KEYS = {
-    "": {"enabled", "hostname", "state", "limits", "listen", "class", "tenant", "recipient", "sender",
-         "destination"},
-    "limits": {"size", "recipients", "client_idle_ms", "slots", "max_open", "attempts", "connect_timeout_ms",
-               "keepalive_ms", "max_wait_ms", "sockets", "disk_mb"},
+    "": {
+        "enabled",
+        "hostname",
+        "state",
+        "limits",
+        "listen",
+        "class",
+        "tenant",
+        "recipient",
+        "sender",
+        "destination",
+    },
+    "limits": {
+        "size",
+        "recipients",
+        "client_idle_ms",
+        "slots",
+        "max_open",
+        "attempts",
+        "connect_timeout_ms",
+        "keepalive_ms",
+        "max_wait_ms",
+        "sockets",
+        "disk_mb",
+    },
     "listen": {"protocol", "address", "connections"},
     "class": {"name", "repeat", "aim_ms", "deadline_ms", "late_worth", "worth", "window_ms"},
     "tenant": {"name", "share", "quota_per_s"},
@@ -600,9 +716,12 @@
     return api.MessageClass(
         name=MAIL_CLASS + get(table, "name", str, what=what),
         effect=api.Effect.SAFE if repeat == "safe" else api.Effect.UNSAFE,
-        aim_ms=least(table, "aim_ms", float, deadline, 1.0, what), deadline_ms=deadline,
-        worth=get(table, "worth", float, 1.0, what), late_worth=get(table, "late_worth", float, 0.0, what),
-        window_ms=least(table, "window_ms", float, deadline, 0.0, what))
+        aim_ms=least(table, "aim_ms", float, deadline, 1.0, what),
+        deadline_ms=deadline,
+        worth=get(table, "worth", float, 1.0, what),
+        late_worth=get(table, "late_worth", float, 0.0, what),
+        window_ms=least(table, "window_ms", float, deadline, 0.0, what),
+    )
 
 
 def mail(root: Any, what: str = "mail") -> Optional[Mail]:
@@ -614,47 +733,79 @@
     if size > MAIL_SIZE_MOST:
         raise ConfigError(f"{where}: key 'size' is {size}, at most {MAIL_SIZE_MOST} was expected")
     listen = tuple(
-        Listen(choice(t, "protocol", ("smtp", "lmtp"), w),
-               address(get(t, "address", str, what=w), "address", w),
-               least(t, "connections", int, 100, 1, w)) for t, w in _tables(root, "listen", what))
+        Listen(
+            choice(t, "protocol", ("smtp", "lmtp"), w),
+            address(get(t, "address", str, what=w), "address", w),
+            least(t, "connections", int, 100, 1, w),
+        )
+        for t, w in _tables(root, "listen", what)
+    )
     classes = tuple(_mail_class(t, w) for t, w in _tables(root, "class", what))
     tenants = tuple(
-        api.Tenant(get(t, "name", str, what=w), get(t, "share", float, 1.0, w),
-                   get(t, "quota_per_s", float, 0.0, w)) for t, w in _tables(root, "tenant", what))
+        api.Tenant(
+            get(t, "name", str, what=w), get(t, "share", float, 1.0, w), get(t, "quota_per_s", float, 0.0, w)
+        )
+        for t, w in _tables(root, "tenant", what)
+    )
     instances, names = [], []
     for table, w in _tables(root, "destination", what):
         names.append(get(table, "name", str, what=w))
         if names[-1].isdigit() or names.count(names[-1]) > 1:
             raise ConfigError(f"{w}: key 'name' is '{names[-1]}', a name used once was expected")
         for t, wi in _tables(table, "instance", w):
-            instances.append(MailInstance(
-                names[-1], choice(t, "protocol", ("smtp", "lmtp"), wi, "smtp"),
-                address(get(t, "address", str, what=wi), "address", wi), get(t, "zone", str, "", wi),
-                get(table, "rate", float, 0.0, w)))
+            instances.append(
+                MailInstance(
+                    names[-1],
+                    choice(t, "protocol", ("smtp", "lmtp"), wi, "smtp"),
+                    address(get(t, "address", str, what=wi), "address", wi),
+                    get(t, "zone", str, "", wi),
+                    get(table, "rate", float, 0.0, w),
+                )
+            )
     known = tuple(c.name.removeprefix(MAIL_CLASS) for c in classes)
     receivers = tuple(
-        Rule(get(t, "match", str, what=w).lower(), MAIL_CLASS + choice(t, "class", known, w),
-             choice(t, "destination", tuple(names), w)) for t, w in _tables(root, "recipient", what))
+        Rule(
+            get(t, "match", str, what=w).lower(),
+            MAIL_CLASS + choice(t, "class", known, w),
+            choice(t, "destination", tuple(names), w),
+        )
+        for t, w in _tables(root, "recipient", what)
+    )
     senders = tuple(
-        Rule(get(t, "match", str, what=w).lower(),
-             tenant=choice(t, "tenant", tuple(x.name for x in tenants), w))
-        for t, w in _tables(root, "sender", what))
+        Rule(
+            get(t, "match", str, what=w).lower(),
+            tenant=choice(t, "tenant", tuple(x.name for x in tenants), w),
+        )
+        for t, w in _tables(root, "sender", what)
+    )
     if not get(root, "enabled", bool, False, what):
         return None
     for key, value in (("listen", listen), ("class", classes), ("recipient", receivers)):
         if not value:
             raise ConfigError(f"{what}: key '{key}' is missing")
     values = api.Settings(
-        classes=(), slots=least(limits, "slots", int, 16, 1, where),
+        classes=(),
+        slots=least(limits, "slots", int, 16, 1, where),
         max_open=least(limits, "max_open", int, 500, 1, where),
         max_attempts=least(limits, "attempts", int, 8, 1, where),
         max_backoff_ms=least(limits, "max_wait_ms", float, 60000.0, 0.0, where),
         keepalive_ms=least(limits, "keepalive_ms", float, 5000.0, 0.0, where),
-        connect_timeout_ms=least(limits, "connect_timeout_ms", float, 1000.0, 1.0, where), tick_ms=5.0)
-    return Mail(get(root, "hostname", str, "ashvale.localdomain", what), listen, size,
-                least(limits, "recipients", int, 100, 1, where),
-                least(limits, "client_idle_ms", float, 300000.0, 1.0, where),
-                classes, tenants, receivers, senders, tuple(instances), values)
+        connect_timeout_ms=least(limits, "connect_timeout_ms", float, 1000.0, 1.0, where),
+        tick_ms=5.0,
+    )
+    return Mail(
+        get(root, "hostname", str, "ashvale.localdomain", what),
+        listen,
+        size,
+        least(limits, "recipients", int, 100, 1, where),
+        least(limits, "client_idle_ms", float, 300000.0, 1.0, where),
+        classes,
+        tenants,
+        receivers,
+        senders,
+        tuple(instances),
+        values,
+    )
 
 
 def with_mail(base: Optional[api.Settings], front: Mail) -> api.Settings:
@@ -664,5 +815,11 @@
     known = {tenant.name for tenant in base.tenants}
     more = tuple(tenant for tenant in front.tenants if tenant.name not in known)
     listed = base.listed_rates or any(i.rate > 0 for i in front.instances)
-    return replace(base, classes=base.classes + front.classes, kinds=(*kinds, api.Kind(MAIL_KIND)),
-                   tenants=base.tenants + more, listed_rates=listed, may_advise=True)
+    return replace(
+        base,
+        classes=base.classes + front.classes,
+        kinds=(*kinds, api.Kind(MAIL_KIND)),
+        tenants=base.tenants + more,
+        listed_rates=listed,
+        may_advise=True,
+    )
--- a/ashvale/config/declare.py
+++ b/ashvale/config/declare.py
@@ -63,8 +63,9 @@
         Optional[Time], quantity("time", "Within which it earns its whole worth; the deadline")
     ] = None
     window: Annotated[Optional[Time], quantity("time", "For how long its partner knows its key")] = None
-    remember: Annotated[Optional[Time], quantity(
-        "time", "How long its outcome is kept for a mail client that sends it again")] = None
+    remember: Annotated[
+        Optional[Time], quantity("time", "How long its outcome is kept for a mail client that sends it again")
+    ] = None
     worth: Annotated[float, number("What a delivery in time earns", 0.0, 1e9)] = 1.0
     late_worth: Annotated[Share, quantity("share", "Of the worth, at the deadline")] = "0 %"
 
@@ -148,7 +149,8 @@
     senders: Annotated[list[str], text("Patterns of envelope senders", "pattern")] = []
     recipients: Annotated[list[str], text("Patterns of envelope recipients", "pattern")] = []
     as_: Annotated[Optional[str], refers("class", "The class of mail that comes through it")] = msgspec.field(
-        default=None, name="as")
+        default=None, name="as"
+    )
     hours: Annotated[list[str], text("Times of day, `HH:MM-HH:MM`, in the courier's zone", "hours")] = []
     policy: Annotated[Optional[str], refers("policy", "How it is tried")] = None
     limit: Annotated[Optional[str], refers("limit", "What it may take")] = None
@@ -197,8 +199,9 @@
     """The log, on standard error."""
 
     level: Annotated[str, choice("From which level on; ASHVALE_LOG goes first", *LEVELS)] = "info"
-    form: Annotated[
-        str, choice("`logfmt` for key=value lines, `json` for one object a line", *FORMS)] = "logfmt"
+    form: Annotated[str, choice("`logfmt` for key=value lines, `json` for one object a line", *FORMS)] = (
+        "logfmt"
+    )
 
 
 class Peer(msgspec.Struct, forbid_unknown_fields=True):
@@ -240,7 +243,8 @@
     include: Annotated[list[str], text("Further files, by path or pattern, from this file's folder")] = []
     default: Annotated[dict[str, dict[str, Any]], Meta(description="For all entries of a kind")] = {}
     override: Annotated[
-        dict[str, dict[str, dict[str, Any]]], Meta(description="Over an entry, by kind and name")] = {}
+        dict[str, dict[str, dict[str, Any]]], Meta(description="Over an entry, by kind and name")
+    ] = {}
     let: Annotated[dict[str, Any], Meta(description="Constants, used as `$NAME`")] = {}
     courier: Annotated[Optional[Courier], Meta(description="The courier itself")] = None
     trace: Annotated[Optional[Trace], Meta(description="Tracing")] = None
@@ -277,34 +281,66 @@
 
 def reference() -> str:
     """All tables and keys, as a page of Markdown."""
-    lines = ["# Reference of the configuration", "",
-             "Made by `ashvale config reference` from the declarations; how to use it: configuration.md.", ""]
-    heads = {"class": Class, "network": Network, "partner": Partner, "partner.NAME.endpoint": Endpoint,
-             "pool": Pool, "pool.NAME.member": Member, "limit": Limit, "policy": Policy}
+    lines = [
+        "# Reference of the configuration",
+        "",
+        "Made by `ashvale config reference` from the declarations; how to use it: configuration.md.",
+        "",
+    ]
+    heads = {
+        "class": Class,
+        "network": Network,
+        "partner": Partner,
+        "partner.NAME.endpoint": Endpoint,
+        "pool": Pool,
+        "pool.NAME.member": Member,
+        "limit": Limit,
+        "policy": Policy,
+    }
     for head, struct in heads.items():
         brackets = f"[[{head}]]" if struct is Member else f"[{head}.NAME]"
         lines += _section(brackets, struct)
-    for head, struct in (("[[route]]", Route), ("[[listen]]", Listener), ("[courier]", Courier),
-                         ("[trace]", Trace), ("[log]", Log), ("[fleet]", Fleet), ("[[fleet.peer]]", Peer),
-                         ("[fleet.step.NAME]", Step)):
+    for head, struct in (
+        ("[[route]]", Route),
+        ("[[listen]]", Listener),
+        ("[courier]", Courier),
+        ("[trace]", Trace),
+        ("[log]", Log),
+        ("[fleet]", Fleet),
+        ("[[fleet.peer]]", Peer),
+        ("[fleet.step.NAME]", Step),
+    ):
         lines += _section(head, struct)
     return "\n".join(lines)
 
 
 def _section(head: str, struct: Any) -> list[str]:
     hints = get_type_hints(struct, include_extras=True)
-    lines = [f"## `{head}`", "", " ".join((struct.__doc__ or "").split()), "",
-             "| key | takes | default | meaning |", "| --- | --- | --- | --- |"]
+    lines = [
+        f"## `{head}`",
+        "",
+        " ".join((struct.__doc__ or "").split()),
+        "",
+        "| key | takes | default | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
     for declared in msgspec.structs.fields(struct):
         meta = next(m for m in get_args(hints[declared.name])[1:] if isinstance(m, Meta))
         default = declared.default
         if default is msgspec.NODEFAULT:
             made = declared.default_factory
             default = made() if made is not msgspec.NODEFAULT else None
-        told = "required" if declared.required else f"`{json.dumps(default)}`" if default not in (
-            None, [], {}, "") else ""
-        lines.append(f"| `{declared.encode_name}` | {_takes(meta, hints[declared.name])} | {told} | "
-                     f"{' '.join((meta.description or '').split())} |")
+        told = (
+            "required"
+            if declared.required
+            else f"`{json.dumps(default)}`"
+            if default not in (None, [], {}, "")
+            else ""
+        )
+        lines.append(
+            f"| `{declared.encode_name}` | {_takes(meta, hints[declared.name])} | {told} | "
+            f"{' '.join((meta.description or '').split())} |"
+        )
     return [*lines, ""]
 
 
@@ -319,5 +355,10 @@
     if "refers" in extra:
         return f"name of a {extra['refers']}"
     return {"address": "address and port", "pattern": "patterns", "hours": "hours"}.get(
-        str(extra.get("form")), "tables" if "dict" in str(hint) or "Member" in str(hint) else
-        "true or false" if "bool" in str(hint) else "text")
+        str(extra.get("form")),
+        "tables"
+        if "dict" in str(hint) or "Member" in str(hint)
+        else "true or false"
+        if "bool" in str(hint)
+        else "text",
+    )
--- a/ashvale/config/diff.py
+++ b/ashvale/config/diff.py
@@ -89,8 +89,11 @@
 
 
 def changes(one: dict[Path, Any], other: dict[Path, Any]) -> list[Change]:
-    return [Change(path, one.get(path), other.get(path)) for path in sorted(one.keys() | other.keys())
-            if one.get(path) != other.get(path)]
+    return [
+        Change(path, one.get(path), other.get(path))
+        for path in sorted(one.keys() | other.keys())
+        if one.get(path) != other.get(path)
+    ]
 
 
 def apply(one: dict[Path, Any], made: list[Change]) -> dict[Path, Any]:
@@ -122,5 +125,10 @@
 def _shown(value: Any) -> str:
     if value is None:
         return "nothing"
-    return ", ".join(map(str, value)) if isinstance(value, tuple) else f"{value:g}" if isinstance(
-        value, float) else str(value)
+    return (
+        ", ".join(map(str, value))
+        if isinstance(value, tuple)
+        else f"{value:g}"
+        if isinstance(value, float)
+        else str(value)
+    )
--- a/ashvale/config/mailset.py
+++ b/ashvale/config/mailset.py
@@ -25,6 +25,7 @@
 
 def files_below(root: Path) -> Files:
     """The files of a set, as the reader names them: by their path below the folder of its first file."""
+
     def names(folder: str) -> list[str]:
         return [path.relative_to(root).as_posix() for path in (root / folder).rglob("*") if path.is_file()]
 
@@ -56,9 +57,12 @@
 
 def _mail_set(made: Loaded) -> MailSet:
     limited = made.entries["pool"] or made.entries["limit"]
-    return MailSet(tables(made), plan(made) if limited else None,
-                   tuple(route.data.name for route in made.routes for _ in route.data.recipients or ["*"]),
-                   {name: source.data for name, source in made.sources.items()})
+    return MailSet(
+        tables(made),
+        plan(made) if limited else None,
+        tuple(route.data.name for route in made.routes for _ in route.data.recipients or ["*"]),
+        {name: source.data for name, source in made.sources.items()},
+    )
 
 
 def _right(name: str, files: Files) -> Loaded:
@@ -101,8 +105,9 @@
     if not sources:
         file.unlink(missing_ok=True)
         return
-    data = json.dumps({"first": next(iter(sources)),
-                       "files": {name: body.decode() for name, body in sources.items()}}).encode()
+    data = json.dumps(
+        {"first": next(iter(sources)), "files": {name: body.decode() for name, body in sources.items()}}
+    ).encode()
     if not file.exists() or file.read_bytes() != data:
         new.write_bytes(data)
         file.unlink(missing_ok=True)  # some file systems take 50 ms to rename a file over another
@@ -111,18 +116,39 @@
 
 def _plan(name: str, files: Files) -> Served:
     made = _right(name, files)
-    for kind, keys in (("network", {"limit"}), ("partner", {"limit", "destination", "kind"}), ("pool", set()),
-                       ("policy", set()), ("class", {"repeat", "deadline", "aim", "window", "worth",
-                                                     "late_worth"})):
+    for kind, keys in (
+        ("network", {"limit"}),
+        ("partner", {"limit", "destination", "kind"}),
+        ("pool", set()),
+        ("policy", set()),
+        ("class", {"repeat", "deadline", "aim", "window", "worth", "late_worth"}),
+    ):
         for entry in made.entries[kind].values():
             _only(entry, keys, "door")
     for route in made.routes:
-        _only(route, {"name", "refuse", "limit", "to", "classes", "networks", "destinations", "senders",
-                      "recipients", "hours"}, "door")
+        _only(
+            route,
+            {
+                "name",
+                "refuse",
+                "limit",
+                "to",
+                "classes",
+                "networks",
+                "destinations",
+                "senders",
+                "recipients",
+                "hours",
+            },
+            "door",
+        )
     for entry in [*made.listen, *(e for kind, e in made.single.items() if kind not in OWN)]:
         _only(entry, set(), "door")
-    own = {kind: {key: getattr(entry.data, key) for key in entry.places}
-           for kind, entry in made.single.items() if kind in OWN}
+    own = {
+        kind: {key: getattr(entry.data, key) for key in entry.places}
+        for kind, entry in made.single.items()
+        if kind in OWN
+    }
     return own, plan(made), {n: s.data for n, s in made.sources.items()}
 
 
@@ -141,18 +167,27 @@
         for key in ("hostname", "state"):
             if key in courier.places:
                 root[key] = getattr(courier.data, key)
-        for key, name in (("slots", "slots"), ("held", "max_open"), ("recipients", "recipients"),
-                          ("sockets", "sockets")):
+        for key, name in (
+            ("slots", "slots"),
+            ("held", "max_open"),
+            ("recipients", "recipients"),
+            ("sockets", "sockets"),
+        ):
             if key in courier.places:
                 limits[name] = getattr(courier.data, key)
-        for key, name, factor in (("message", "size", 1.0), ("client_idle", "client_idle_ms", 1.0),
-                                  ("disk", "disk_mb", 1e-6)):
+        for key, name, factor in (
+            ("message", "size", 1.0),
+            ("client_idle", "client_idle_ms", 1.0),
+            ("disk", "disk_mb", 1e-6),
+        ):
             if key in courier.places:
                 value = courier.amounts[key] * factor
                 limits[name] = value if key == "disk" else round(value)
     _policy(made, limits)
-    root["listen"] = [{"protocol": x.data.protocol, "address": x.data.address,
-                       "connections": x.data.connections} for x in made.listen]
+    root["listen"] = [
+        {"protocol": x.data.protocol, "address": x.data.address, "connections": x.data.connections}
+        for x in made.listen
+    ]
     root["class"] = [_class(entry) for entry in made.entries["class"].values()]
     root["tenant"], root["sender"] = [], []
     for network in made.entries["network"].values():
@@ -184,8 +219,11 @@
         policy = made.entries["policy"][str(name)]
         if "attempts" in policy.places:
             limits["attempts"] = policy.data.attempts
-        for key, known in (("connect_timeout", "connect_timeout_ms"), ("keepalive", "keepalive_ms"),
-                           ("longest_wait", "max_wait_ms")):
+        for key, known in (
+            ("connect_timeout", "connect_timeout_ms"),
+            ("keepalive", "keepalive_ms"),
+            ("longest_wait", "max_wait_ms"),
+        ):
             if key in policy.places:
                 limits[known] = policy.amounts[key]
 
@@ -209,8 +247,10 @@
         made["rate"] = entry.amounts["rate"]
     for endpoint in entry.parts.get("endpoint", []):
         _only(endpoint, {"address", "protocol", "zone"})
-        made["instance"].append({"protocol": endpoint.data.protocol, "address": endpoint.data.address} | (
-            {"zone": endpoint.data.zone} if endpoint.data.zone else {}))
+        made["instance"].append(
+            {"protocol": endpoint.data.protocol, "address": endpoint.data.address}
+            | ({"zone": endpoint.data.zone} if endpoint.data.zone else {})
+        )
     return made
 
 
@@ -225,8 +265,10 @@
         raise ConfigError(f"{route.place}: route '{route.name}': the mail front serves routes to partners")
     if route.data.as_ is None:
         raise ConfigError(f"{route.place}: route '{route.name}' has no key 'as': mail names no class")
-    return [{"match": match, "class": route.data.as_, "destination": name}
-            for match in route.data.recipients or ["*"]]
+    return [
+        {"match": match, "class": route.data.as_, "destination": name}
+        for match in route.data.recipients or ["*"]
+    ]
 
 
 # The older tables as a set
@@ -239,18 +281,27 @@
     lines += [f"{key} = {_quoted(root[key])}" for key in ("hostname", "state") if key in root]
     if not root.get("enabled", False):
         lines.append("mail = false")
-    for name, key in (("slots", "slots"), ("max_open", "held"), ("recipients", "recipients"),
-                      ("sockets", "sockets")):
+    for name, key in (
+        ("slots", "slots"),
+        ("max_open", "held"),
+        ("recipients", "recipients"),
+        ("sockets", "sockets"),
+    ):
         if name in limits:
             lines.append(f"{key} = {limits[name]}")
     for name, key, kind, factor in (
-            ("size", "message", "size", 1.0), ("client_idle_ms", "client_idle", "time", 1.0),
-            ("disk_mb", "disk", "size", 1e6)):
+        ("size", "message", "size", 1.0),
+        ("client_idle_ms", "client_idle", "time", 1.0),
+        ("disk_mb", "disk", "size", 1e6),
+    ):
         if name in limits:
             lines.append(f"{key} = {_amount(limits[name] * factor, kind)}")
     policy = [f"attempts = {limits['attempts']}"] if "attempts" in limits else []
-    times = (("connect_timeout_ms", "connect_timeout"), ("keepalive_ms", "keepalive"),
-             ("max_wait_ms", "longest_wait"))
+    times = (
+        ("connect_timeout_ms", "connect_timeout"),
+        ("keepalive_ms", "keepalive"),
+        ("max_wait_ms", "longest_wait"),
+    )
     policy += [f"{key} = {_amount(limits[name], 'time')}" for name, key in times if name in limits]
     if policy:
         lines += [f"[policy.{POLICY}]", *policy]
@@ -258,9 +309,16 @@
         lines += ["[[listen]]", *(f"{key} = {_plain(value)}" for key, value in listen.items())]
     for cls in root.get("class", []):
         lines += [f"[class.{_key(cls['name'])}]", f"repeat = {_quoted(cls['repeat'])}"]
-        lines += [f"{key} = {_amount(cls[name], kind)}" for name, key, kind in (
-            ("aim_ms", "aim", "time"), ("deadline_ms", "deadline", "time"), ("window_ms", "remember", "time"),
-            ("late_worth", "late_worth", "share")) if name in cls]
+        lines += [
+            f"{key} = {_amount(cls[name], kind)}"
+            for name, key, kind in (
+                ("aim_ms", "aim", "time"),
+                ("deadline_ms", "deadline", "time"),
+                ("window_ms", "remember", "time"),
+                ("late_worth", "late_worth", "share"),
+            )
+            if name in cls
+        ]
         lines += [f"worth = {cls['worth']}"] if "worth" in cls else []
     lines += _networks(root)
     for destination in root.get("destination", []):
@@ -268,12 +326,18 @@
         lines += [f"[partner.{name}]"]
         lines += [f"rate = {_amount(destination['rate'], 'rate')}"] if destination.get("rate") else []
         for number, instance in enumerate(destination.get("instance", []), 1):
-            lines += [f"[partner.{name}.endpoint.e{number}]",
-                      *(f"{key} = {_plain(value)}" for key, value in instance.items())]
+            lines += [
+                f"[partner.{name}.endpoint.e{number}]",
+                *(f"{key} = {_plain(value)}" for key, value in instance.items()),
+            ]
     for number, rule in enumerate(root.get("recipient", []), 1):
-        lines += ["[[route]]", f"name = {_quoted(f'{number}: ' + rule['match'])}",
-                  f"recipients = [{_quoted(rule['match'])}]", f"as = {_quoted(rule['class'])}",
-                  f"to = {_quoted('partner ' + rule['destination'])}"]
+        lines += [
+            "[[route]]",
+            f"name = {_quoted(f'{number}: ' + rule['match'])}",
+            f"recipients = [{_quoted(rule['match'])}]",
+            f"as = {_quoted(rule['class'])}",
+            f"to = {_quoted('partner ' + rule['destination'])}",
+        ]
         lines += [f"policy = {_quoted(POLICY)}"] if policy else []
     return "\n".join(lines) + "\n"
 
--- a/ashvale/config/reader.py
+++ b/ashvale/config/reader.py
@@ -462,8 +462,10 @@
 @cache
 def _declared(struct: Any) -> tuple[dict[str, Any], dict[str, Any]]:
     """A struct's annotations and fields; looking them up anew took most of the time for a large set."""
-    return (get_type_hints(struct, include_extras=True),
-            {f.encode_name: f for f in msgspec.structs.fields(struct)})
+    return (
+        get_type_hints(struct, include_extras=True),
+        {f.encode_name: f for f in msgspec.structs.fields(struct)},
+    )
 
 
 def _bare(hint: Any) -> Any:
--- a/ashvale/config/units.py
+++ b/ashvale/config/units.py
@@ -14,11 +14,23 @@
 from typing import Optional
 
 KINDS: dict[str, dict[str, Fraction]] = {
-    "time": {"ms": Fraction(1), "s": Fraction(1000), "min": Fraction(60_000), "h": Fraction(3_600_000),
-             "d": Fraction(86_400_000)},
+    "time": {
+        "ms": Fraction(1),
+        "s": Fraction(1000),
+        "min": Fraction(60_000),
+        "h": Fraction(3_600_000),
+        "d": Fraction(86_400_000),
+    },
     "rate": {"/s": Fraction(1), "/min": Fraction(1, 60), "/h": Fraction(1, 3600)},
-    "size": {"B": Fraction(1), "KB": Fraction(10**3), "MB": Fraction(10**6), "GB": Fraction(10**9),
-             "KiB": Fraction(2**10), "MiB": Fraction(2**20), "GiB": Fraction(2**30)},
+    "size": {
+        "B": Fraction(1),
+        "KB": Fraction(10**3),
+        "MB": Fraction(10**6),
+        "GB": Fraction(10**9),
+        "KiB": Fraction(2**10),
+        "MiB": Fraction(2**20),
+        "GiB": Fraction(2**30),
+    },
     "share": {"%": Fraction(1, 100)},
 }
 """Units by kind, exact: 47 % is the float nearest to 0.47, however it is written."""
--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -14,27 +14,27 @@
 from ashvale.interface import Effect, Outcome, Readiness
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
 
-WINDOW_MS = 2000.0         # the ring's window: as long as the fixed spans that limits are commonly counted in
+WINDOW_MS = 2000.0  # the ring's window: as long as the fixed spans that limits are commonly counted in
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
-SAMPLES, MARKS = 100, 8    # latencies kept for margin and usual time; outcomes kept for health
-CLEAN_WINDOWS = 8          # clean windows after which a learned ring is open again
-LEAST = (3.0, 0.35)        # N's floor: a share of so many calls, and this much of a listed part of many
-LOOSE = 2.0                # where many share a limit N starts so many roots of its part over it
+SAMPLES, MARKS = 100, 8  # latencies kept for margin and usual time; outcomes kept for health
+CLEAN_WINDOWS = 8  # clean windows after which a learned ring is open again
+LEAST = (3.0, 0.35)  # N's floor: a share of so many calls, and this much of a listed part of many
+LOOSE = 2.0  # where many share a limit N starts so many roots of its part over it
 SPREAD_MS = (15.0, 500.0)  # returns after a refusal are spread: by each forwarder, and at most while N is one
-OVERDUE = 4.0              # a call is overdue after this multiple of the usual time
-PATIENCE = (6.0, 20.0)     # time-out of a first attempt and of an unsafe one, likewise
+OVERDUE = 4.0  # a call is overdue after this multiple of the usual time
+PATIENCE = (6.0, 20.0)  # time-out of a first attempt and of an unsafe one, likewise
 TRIAL_MS = (80.0, 2000.0)  # least pause before a trial call: by each forwarder, and at most
-MISHAP_MS = 2500.0         # failures that pass within this time are a mishap, not an outage
-LOSSY_MS = 10000.0         # after a mishap lost answers alone are no outage for so long
-RAMP_SHARE = 0.9           # part of the permitted fail-back load that is used
-SPARE = 1.5                # what a destination can do, over its usual traffic, at the least
-LOW, RISE = 0.5, 0.4       # under this share of its listed part N doubles; under one less, in vast fleets
-LEFT = 0.25                # N does not grow while less than this share of a limit is reported left
-LANE_SHARE = 0.75         # part of the slots that one lane may hold
-RATE_MS = 20000.0          # span over which the usual traffic of a destination is counted
+MISHAP_MS = 2500.0  # failures that pass within this time are a mishap, not an outage
+LOSSY_MS = 10000.0  # after a mishap lost answers alone are no outage for so long
+RAMP_SHARE = 0.9  # part of the permitted fail-back load that is used
+SPARE = 1.5  # what a destination can do, over its usual traffic, at the least
+LOW, RISE = 0.5, 0.4  # under this share of its listed part N doubles; under one less, in vast fleets
+LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
+LANE_SHARE = 0.75  # part of the slots that one lane may hold
+RATE_MS = 20000.0  # span over which the usual traffic of a destination is counted
 EDGE_MS, REPEAT_MS = 80.0, 150.0  # left of its time when a message is answered, of its window to a repeat
-ADVICE_MS = 1000.0         # when to come back with a message that was given up
-RENEW_MS = 300.0           # first pause before a failed message or the list is tried again; doubles
+ADVICE_MS = 1000.0  # when to come back with a message that was given up
+RENEW_MS = 300.0  # first pause before a failed message or the list is tried again; doubles
 
 
 def worth_at(m: Message, at: float) -> float:
@@ -79,7 +79,7 @@
         self.rests: dict[int, float] = {}
         self.attempts: dict[tuple[int, int], Call] = {}
         self.due: list[tuple[float, int, int, int]] = []  # time, running number, destination, message or -1
-        self.dirty: dict[int, None] = {}    # destinations that the event at hand concerns
+        self.dirty: dict[int, None] = {}  # destinations that the event at hand concerns
         self.starved: dict[int, None] = {}  # destinations that wait for a slot
         self.crowded: set[api.Kind] = set()  # kinds of destination whose connection tables were seen full
         self.calls_out, self.held, self.count, self.token, self.wake_at, self.calm_at = 0, 0, 0, 0, 1e18, 0.0
@@ -219,7 +219,7 @@
 
     def _weight(self, event: api.NewMessage, now: float) -> float:
         """Weigh what a tenant sends beyond this forwarder's part of its share: a bucket of two seconds."""
-        tenants = self.s.tenants[event.tenant:event.tenant + 1]
+        tenants = self.s.tenants[event.tenant : event.tenant + 1]
         if (rate := sum(t.quota_per_s for t in tenants) / self.s.forwarders) <= 0:
             return 1.0
         level = max(0.0, self.spent[event.tenant][0] - rate * (now - self.spent[event.tenant][1]) / 1000.0)
@@ -384,8 +384,10 @@
     def _pick(self, dest: Destination, now: float) -> tuple[float, Message, Endpoint] | None:
         """Choose the message that loses most by waiting for the queue to drain, and its best endpoint."""
         known = [e for e in dest.endpoints if e.ready and (self._joins(e, now) or self._free(e, now))]
-        endpoints = sorted(known, key=lambda e: (
-            not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok))
+        endpoints = sorted(
+            known,
+            key=lambda e: (not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok),
+        )
         best: tuple[float, Message, Endpoint] | None = None
         if not (endpoints and dest.queue):
             return None
@@ -482,7 +484,7 @@
         lane.total += 0.2 * (total - lane.total) if lane.total and total else total
         if lane.n is None and total > 0:
             part = self._part(lane)
-            lane.n = max(1.0, min(part + LOOSE * part ** 0.5 * self.many, part * self.s.forwarders))
+            lane.n = max(1.0, min(part + LOOSE * part**0.5 * self.many, part * self.s.forwarders))
 
     def _part(self, lane: Lane) -> float:  # an even part of a told limit, in calls a window, or 0
         return lane.total * WINDOW_MS / 1000.0 / self.s.forwarders
@@ -510,7 +512,7 @@
         if lane.n is None or lane.n >= max(2.0, 4.0 * self.many):
             lane.n = max(1.0, size - 1.0)
         elif sent > lane.refused_at:  # calls that were out together count once
-            lane.dry, row = min(lane.dry + 1, 3) if self.vast else 0, 0.5 ** lane.dry
+            lane.dry, row = min(lane.dry + 1, 3) if self.vast else 0, 0.5**lane.dry
             lane.n = max(self.least, LEAST[1] * self.many * part * row, (0.75 - 0.25 * self.vast) * size)
         lane.grown_at = lane.refused_at = now
         spread = min(SPREAD_MS[1], SPREAD_MS[0] * self.s.forwarders) / min(1.0, lane.n)
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -30,8 +30,8 @@
 
 HANDOVER_MS = 600.0  # after SIGTERM new connections still come for so long
 LAST_SEND_MS = 3000.0  # no execution begins later than this after SIGTERM
-END_MS = 3500.0      # and the process ends, whatever is left; the journal keeps it
-ADOPT_MS = 100.0     # how often a new process looks whether the one before it has ended
+END_MS = 3500.0  # and the process ends, whatever is left; the journal keeps it
+ADOPT_MS = 100.0  # how often a new process looks whether the one before it has ended
 log = logging.getLogger("ashvale")
 
 
@@ -59,8 +59,13 @@
         self._share(told)
         self.log_as: Callable[[config.Config], None] = lambda _told: None
         # After `_platform`, whose known list names the instances that a wait silences.
-        self.waits = Waits(loop, told.state, journal.waiting, told.platform is not None
-                           and told.platform.operator is not None, self.exchange.hear_wait)
+        self.waits = Waits(
+            loop,
+            told.state,
+            journal.waiting,
+            told.platform is not None and told.platform.operator is not None,
+            self.exchange.hear_wait,
+        )
         self.exchange.tell_wait = self.waits.tell
         self.exchange.resume()
         self._door(told)
@@ -114,15 +119,23 @@
     def _operator(self, where: tuple[str, int], state: Path) -> None:
         """The operator's door, and the bans that it keeps in the state folder for every process."""
         from ashvale.net.operator import BANS_MS, Bans, Door
+
         server = self.server
         assert server is not None
         bans = Bans(state, lambda names: self._ban("door", names))
-        self.operator = Door(self.loop, where, bans, lambda name: name in self.exchange.ever,
-                             lambda: server.ready, server.drain)
+        self.operator = Door(
+            self.loop,
+            where,
+            bans,
+            lambda name: name in self.exchange.ever,
+            lambda: server.ready,
+            server.drain,
+        )
 
         def look() -> None:  # Bans read the file once when they are made
             bans.look()
             self.loop.call_at(self.loop.now() + BANS_MS, look)
+
         self.loop.call_at(self.loop.now() + BANS_MS, look)
 
     def _ban(self, source: str, names: frozenset[str]) -> None:
@@ -161,10 +174,12 @@
     def _door(self, told: config.Config) -> None:
         """Follow the routes, limits and pools of the operators' sets."""
         for front, plan, sources, name in (
-                ("platform", told.plan, told.sources, config.GOOD_SET),
-                ("mail", told.mail_plan, told.mail_sources, config.GOOD_MAIL)):
+            ("platform", told.plan, told.sources, config.GOOD_SET),
+            ("mail", told.mail_plan, told.mail_sources, config.GOOD_MAIL),
+        ):
             if sources:
                 from ashvale.config import mailset
+
                 try:
                     mailset.keep(told.state, sources, name)
                 except OSError as error:
@@ -176,6 +191,7 @@
                 door.swap(plan, self.loop.now())
             elif plan is not None or door is not None:
                 from ashvale.routing.door import Door
+
                 made = Door(plan, told.seed, crosses=front == "mail") if plan is not None else None
                 self.exchange.guard(front, made)
 
@@ -188,8 +204,11 @@
         self.exchange.carriers["platform"] = self.pool
         self.server = Server(self.loop, self.exchange, front.listen, 1, self.notices)
         self.exchange.fronts["platform"] = self.server
-        for steps, name in ((self.notices.run, "notices"), (self.pool.sweep, "pool"),
-                            (self.discovery.run, "discovery")):
+        for steps, name in (
+            (self.notices.run, "notices"),
+            (self.pool.sweep, "pool"),
+            (self.discovery.run, "discovery"),
+        ):
             self._always(steps, name)
 
     def _always(self, steps: Callable[[], Coroutine[None]], name: str) -> None:
@@ -255,6 +274,7 @@
 
         if old.sources or old.mail_sources or config.has_set(environ):
             from ashvale.net.aside import aside
+
             aside(self.loop, read, self._loaded)
             return
         try:
@@ -319,7 +339,8 @@
         for task in self.tasks:
             task.cancel()
         for listener in ((self.server.listener,) if self.server else ()) + tuple(
-                self.mail.listeners if self.mail else ()):
+            self.mail.listeners if self.mail else ()
+        ):
             listener.close()
             for connection in list(listener.open):
                 connection.close()
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -27,11 +27,11 @@
     from ashvale.routing.door import Door
     from ashvale.routing.router import Facts
 
-NACK_MS = 500.0         # when to come back after a refusal at the door
+NACK_MS = 500.0  # when to come back after a refusal at the door
 UNHEARD = float("inf")  # a wait of which the Controller has yet to hear
-SERVED_MOST = 4096      # destinations kept in mind
-ASIDE_MS = 100.0        # how often to look whether this process is alone again; and left for an end's notice
-NAMED_FROM = 1 << 20    # destinations with names instead of numbers are counted from here
+SERVED_MOST = 4096  # destinations kept in mind
+ASIDE_MS = 100.0  # how often to look whether this process is alone again; and left for an end's notice
+NAMED_FROM = 1 << 20  # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
 _NUMBERS = {outcome: number for number, outcome in enumerate(Outcome, 1)}
 _NUMBERS[Outcome.CROWDED] = 10  # 9 stands for an attempt that was out, in the files of traces
@@ -82,11 +82,11 @@
     body: bytes
     retried: bool = False
     envelope: str = ""
-    order: str = ""         # its order key, in a class that keeps its order
-    began: float = 0.0      # when the request's first byte was read, on the loop's clock
-    traceparent: str = ""   # what the client sent for its trace, as it came
+    order: str = ""  # its order key, in a class that keeps its order
+    began: float = 0.0  # when the request's first byte was read, on the loop's clock
+    traceparent: str = ""  # what the client sent for its trace, as it came
     tracestate: str = ""
-    handed: str = ""        # when a front layer had it, likewise
+    handed: str = ""  # when a front layer had it, likewise
 
 
 @dataclass(frozen=True)
@@ -154,8 +154,9 @@
 
     def begun(self, execution: Execution) -> None: ...
 
-    def settled(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float,
-                ended: float) -> None: ...
+    def settled(
+        self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float, ended: float
+    ) -> None: ...
 
     def headers(self, execution: Execution) -> list[tuple[str, str]]: ...
 
@@ -194,9 +195,9 @@
         self.banned: frozenset[str] = frozenset()  # instances that operators took out of service, a fact
         self.ever: dict[str, None] = {}  # names of instances ever listed, the latest last; bounded
         self._served: dict[str, None] = {}  # destinations that were ever listed, the latest last
-        self._owed: dict[int, Entry] = {}            # no end decided yet
+        self._owed: dict[int, Entry] = {}  # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
-        self._out: dict[int, Execution] = {}         # by message
+        self._out: dict[int, Execution] = {}  # by message
         self._telling: dict[str, int] = {}  # order keys of which an end is still to be heard, and how many
         self._behind: dict[str, list[Execution]] = {}  # executions that wait for that
         self._aside: dict[int, Entry] = {}  # ordered messages of which the module hears once we are alone
@@ -269,8 +270,14 @@
                 self._decide(entry, FAILED)
             else:
                 self._hold(entry)
-        log.info("journal read", extra={"held": len(self._owed), "entries": len(self.journal.entries),
-                                        "ms": round(self.loop.now() - now, 1)})
+        log.info(
+            "journal read",
+            extra={
+                "held": len(self._owed),
+                "entries": len(self.journal.entries),
+                "ms": round(self.loop.now() - now, 1),
+            },
+        )
 
     def find(self, front: str, id: str) -> Optional[Entry]:
         """The message with that id, while it is held or its outcome is remembered."""
@@ -291,9 +298,21 @@
             if (no := door.admit(facts, route, command.deadline - now, now)) is not None:
                 return self.refuse(command, no.why, no.after_ms)
             command = replace(command, dest=door.assign(command.id, route, command.dest, now))
-        entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
-                      self.wall(command.deadline), command.body, command.retried, command.envelope,
-                      order=command.order, taken=self.wall(self.loop.now()) if command.order else 0.0)
+        entry = Entry(
+            0,
+            command.id,
+            command.front,
+            command.cls,
+            command.dest,
+            command.tenant,
+            command.key,
+            self.wall(command.deadline),
+            command.body,
+            command.retried,
+            command.envelope,
+            order=command.order,
+            taken=self.wall(self.loop.now()) if command.order else 0.0,
+        )
         began = self.loop.now()
         if self.tracer is not None:
             entry.trace = self.tracer.identify(command) or ""
@@ -319,10 +338,17 @@
     def _facts(self, message: Command | Entry) -> Facts:
         """What routes know of a message; mail tells its sender and its first recipient."""
         from ashvale.routing.router import Facts
+
         envelope = json.loads(message.envelope) if message.envelope else {}
         clock = time.localtime(self.wall(self.loop.now()) / 1000.0)
-        return Facts(message.cls.rpartition("/")[2], message.tenant, message.dest, envelope.get("from", ""),
-                     (envelope.get("to") or [""])[0], clock.tm_hour * 60 + clock.tm_min)
+        return Facts(
+            message.cls.rpartition("/")[2],
+            message.tenant,
+            message.dest,
+            envelope.get("from", ""),
+            (envelope.get("to") or [""])[0],
+            clock.tm_hour * 60 + clock.tm_min,
+        )
 
     def guard(self, front: str, door: Optional[Door]) -> None:
         """Put other routes and limits in force; what is held counts under them from the start."""
@@ -340,12 +366,14 @@
         self.controller.limits = api.Unlimited()
         if self.doors:
             from ashvale.routing.door import Doors
+
             self.controller.limits = Doors(self.doors.values())
 
     def _listed(self) -> None:
         """Tell the doors which destinations have a ready instance."""
-        ready = {i.dest for i in self.instances.values()
-                 if i.ready and not i.gone and i.name not in self._left}
+        ready = {
+            i.dest for i in self.instances.values() if i.ready and not i.gone and i.name not in self._left
+        }
         for door in self.doors.values():
             door.listed({i.dest for i in self.instances.values()}, ready)
         self._steer = True
@@ -427,9 +455,18 @@
     def _new(self, entry: Entry) -> api.NewMessage:
         ran_at = None if entry.ran_at is None else self.local(entry.ran_at)
         return api.NewMessage(
-            entry.number, self._classes[entry.cls], self._dest(entry.dest), self.local(entry.deadline),
-            self._tenants.get(entry.tenant, 0), order_number(entry.order), entry.retried, entry.sends, ran_at,
-            entry.ran_zone, entry.resumed and not entry.attempts)
+            entry.number,
+            self._classes[entry.cls],
+            self._dest(entry.dest),
+            self.local(entry.deadline),
+            self._tenants.get(entry.tenant, 0),
+            order_number(entry.order),
+            entry.retried,
+            entry.sends,
+            ran_at,
+            entry.ran_zone,
+            entry.resumed and not entry.attempts,
+        )
 
     def withdraw(self, entry: Entry) -> None:
         """The client never heard that its message was taken: it counts for nothing."""
@@ -481,8 +518,7 @@
             names = {i.name for i in told}
             if not any(isinstance(event, api.ListKnown) for event in self._events):
                 used = names | {e.instance.name for e in self._out.values()}
-                self.instances = {n: i for n, i in self.instances.items()
-                                  if n in used or n not in self._left}
+                self.instances = {n: i for n, i in self.instances.items() if n in used or n not in self._left}
             self._left = self.instances.keys() - names
         else:
             self._left -= {instance.name for instance in told}
@@ -491,17 +527,26 @@
             gone = instance.gone
             instance = replace(known, gone=True) if gone and known else instance
             ready = instance.ready and instance.name not in self.banned  # a ban drains, whatever is listed
-            readiness = (api.Readiness.GONE if gone else
-                         api.Readiness.READY if ready else api.Readiness.DRAINING)
+            readiness = (
+                api.Readiness.GONE if gone else api.Readiness.READY if ready else api.Readiness.DRAINING
+            )
             _remember(self.ever, instance.name)
             if known and known.address != instance.address:
                 self.carriers[known.carrier].close_idle(known.name)
             self.instances[instance.name] = instance
             _remember(self._served, instance.dest)
-            lines.append(api.Listing(
-                instance.name.encode(), self._dest(instance.dest), self._kinds.get(instance.kind, 0),
-                self._zones.get(instance.zone, 0), readiness, instance.rate, instance.born_ms,
-                self._silent.get(self._route(instance), (0.0, 0.0))[1]))
+            lines.append(
+                api.Listing(
+                    instance.name.encode(),
+                    self._dest(instance.dest),
+                    self._kinds.get(instance.kind, 0),
+                    self._zones.get(instance.zone, 0),
+                    readiness,
+                    instance.rate,
+                    instance.born_ms,
+                    self._silent.get(self._route(instance), (0.0, 0.0))[1],
+                )
+            )
         if self.doors:
             self._listed()
         self._post(api.ListKnown(how, version, tuple(lines)), at_once=True)
@@ -536,8 +581,7 @@
         """A wait that the other process of this courier was told; to the partners both are one."""
         if until > max(self.loop.now(), self._silent.get(route, (0.0, 0.0))[1]):
             self._silent[route] = UNHEARD, until
-            self.instances_known(api.ListKind.DELTA, [
-                i for i in self._told_now() if self._route(i) == route])
+            self.instances_known(api.ListKind.DELTA, [i for i in self._told_now() if self._route(i) == route])
 
     def _forget(self, gone: Iterable[str]) -> None:
         """The Controller has heard that they are gone: nothing refers to them but what is out."""
@@ -546,8 +590,16 @@
                 del self.instances[name]
                 self.carriers[instance.carrier].close_idle(name)
 
-    def report(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float = 0.0,
-               over: str = "", no_slot: bool = False, load: Optional[dict[str, float]] = None) -> None:
+    def report(
+        self,
+        execution: Execution,
+        entry: Entry,
+        outcome: Outcome,
+        wait_ms: float = 0.0,
+        over: str = "",
+        no_slot: bool = False,
+        load: Optional[dict[str, float]] = None,
+    ) -> None:
         """One part of an execution has ended; `over` is the message's end where the instance tells it."""
         if self.halted or entry.number not in execution.open:
             return
@@ -570,14 +622,34 @@
             self._silent[route] = UNHEARD, max(now + wait_ms, self._silent.get(route, (0.0, 0.0))[1])
             self.tell_wait(route, self._silent[route][1])
         self._judge(execution, outcome, over, wait_ms, now)
-        log.debug("execution", extra={
-            "id": entry.id, "attempt": attempt, "instance": execution.instance.name, "outcome": outcome.value,
-            "took": round(took), "wait": wait_ms})
-        self._post(api.Settled(entry.number, attempt, execution.instance.name.encode(), outcome, took,
-                               finished, wait_ms, no_slot, load or {}))
-
-    def probed(self, call: Execution, outcome: Outcome, wait_ms: float = 0.0,
-               load: Optional[dict[str, float]] = None) -> None:
+        log.debug(
+            "execution",
+            extra={
+                "id": entry.id,
+                "attempt": attempt,
+                "instance": execution.instance.name,
+                "outcome": outcome.value,
+                "took": round(took),
+                "wait": wait_ms,
+            },
+        )
+        self._post(
+            api.Settled(
+                entry.number,
+                attempt,
+                execution.instance.name.encode(),
+                outcome,
+                took,
+                finished,
+                wait_ms,
+                no_slot,
+                load or {},
+            )
+        )
+
+    def probed(
+        self, call: Execution, outcome: Outcome, wait_ms: float = 0.0, load: Optional[dict[str, float]] = None
+    ) -> None:
         """A probe has ended; a wait that its answer tells binds like any other."""
         if not self.halted:
             if wait_ms > 0:
@@ -595,8 +667,12 @@
             return False
         if not execution.begun:
             try:
-                self.journal.started(execution.parts, self.wall(self.loop.now()),
-                                     self._zones.get(execution.instance.zone, 0), execution.instance.name)
+                self.journal.started(
+                    execution.parts,
+                    self.wall(self.loop.now()),
+                    self._zones.get(execution.instance.zone, 0),
+                    execution.instance.name,
+                )
             except Full as error:  # an execution that the journal does not know must not begin
                 log.error("execution not begun", extra={"why": str(error)})
                 return False
@@ -630,8 +706,12 @@
         """Tell whether the list still names an instance as ready, and under the address that is held here."""
         known = self.instances.get(instance.name)
         listed = known is not None and known.ready and not known.gone and known.name not in self._left
-        return known is not None and listed and known.address == instance.address and (
-            known.name not in self.banned)
+        return (
+            known is not None
+            and listed
+            and known.address == instance.address
+            and (known.name not in self.banned)
+        )
 
     def hush(self, execution: Execution, wait_ms: float) -> None:
         """A wait that an answer tells whose end is still to come: it binds all the same, from now on."""
@@ -700,8 +780,9 @@
                 for line in event.lines:
                     if line.silent_until > now and line.silent_until >= self.told_wait(line.target.decode()):
                         self._heard(line.target.decode(), now)
-                self._forget(line.target.decode() for line in event.lines
-                             if line.readiness is api.Readiness.GONE)
+                self._forget(
+                    line.target.decode() for line in event.lines if line.readiness is api.Readiness.GONE
+                )
         for executions in sends.values():
             for execution in executions:
                 self._begin(execution)
--- a/ashvale/fleet/agent.py
+++ b/ashvale/fleet/agent.py
@@ -58,12 +58,12 @@
     encode,
 )
 
-COMPACT_AT = 2000        # entries in the log, beyond which what they came to takes their place
-OPEN_MOST = 256          # requests of this courier under way, and of others at a leader
-AGAIN_MS = 500.0         # a request goes to the leader again after so long
-GIVE_UP_MS = 5000.0      # and its outcome counts as unknown after so long
-TOLD_MOST = 5            # others whom one that leaves tells; they pass it on
-READMIT = "readmit/"     # keys: the incarnation of a voter that lost its folder and may be taken in again
+COMPACT_AT = 2000  # entries in the log, beyond which what they came to takes their place
+OPEN_MOST = 256  # requests of this courier under way, and of others at a leader
+AGAIN_MS = 500.0  # a request goes to the leader again after so long
+GIVE_UP_MS = 5000.0  # and its outcome counts as unknown after so long
+TOLD_MOST = 5  # others whom one that leaves tells; they pass it on
+READMIT = "readmit/"  # keys: the incarnation of a voter that lost its folder and may be taken in again
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -153,8 +153,29 @@
     owed: int
 
 
-Body = Union[Vote, Voted, Append, Install, Appended, Pull, Pulled, Hello, Welcome, Stale, Ping, Ack, Look,
-             Saw, Propose, Proposed, Renew, Renewed, InForce, Noted, Health]
+Body = Union[
+    Vote,
+    Voted,
+    Append,
+    Install,
+    Appended,
+    Pull,
+    Pulled,
+    Hello,
+    Welcome,
+    Stale,
+    Ping,
+    Ack,
+    Look,
+    Saw,
+    Propose,
+    Proposed,
+    Renew,
+    Renewed,
+    InForce,
+    Noted,
+    Health,
+]
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -183,11 +204,11 @@
 
     fleet: str
     name: str
-    peers: tuple[str, ...]            # all names but the own
-    voters: tuple[str, ...]           # who votes where there is no record yet
+    peers: tuple[str, ...]  # all names but the own
+    voters: tuple[str, ...]  # who votes where there is no record yet
     timing: Timing = Timing()
     rhythm: Rhythm = Rhythm()
-    follow: float = 1000.0            # how often one that does not vote asks what was decided
+    follow: float = 1000.0  # how often one that does not vote asks what was decided
     buildings: tuple[tuple[str, str], ...] = ()  # couriers, and where they stand
 
 
@@ -195,7 +216,7 @@
 class Effects:
     """First save, with one sync, then send, then tell."""
 
-    record: list[Out] = field(default_factory=list)    # in order; `compacted` goes last
+    record: list[Out] = field(default_factory=list)  # in order; `compacted` goes last
     compacted: bool = False
     kept: bool = False
     sends: list[tuple[str, Body]] = field(default_factory=list)
@@ -239,19 +260,19 @@
         self.kept.incarnation += 1
         self.members = Members(setup.name, self.kept.incarnation, setup.peers, setup.rhythm, random, now)
         self.aside_until = 0.0  # above nought: another process acts under this name; asked again then
-        self.stopped = ""       # why this process takes part no more
+        self.stopped = ""  # why this process takes part no more
         self.confirmed: set[str] = set()
         self.requests: dict[str, Request] = {}
-        self.asked_by: dict[str, set[str]] = {}     # at the leader: who waits to hear of a command
+        self.asked_by: dict[str, set[str]] = {}  # at the leader: who waits to hear of a command
         self.leases: dict[str, Held] = {}
-        self.renewed: dict[str, float] = {}         # at the leader: when a lease was last renewed
+        self.renewed: dict[str, float] = {}  # at the leader: when a lease was last renewed
         self.lost_voters: dict[str, int] = {}
         self.looks: dict[str, set[str]] = {}
         self.pull_at = self.hello_at = now
-        self.minute = -1        # of the day, in UTC, for quiet hours; its driver says so
-        self.ready = True       # its driver's word that this courier takes messages, but for a permit
+        self.minute = -1  # of the day, in UTC, for quiet hours; its driver says so
+        self.ready = True  # its driver's word that this courier takes messages, but for a permit
         self.ready_since = now
-        self.granted_at = 0.0   # at the leader: when it last applied a grant
+        self.granted_at = 0.0  # at the leader: when it last applied a grant
         self.banned_at: dict[str, tuple[int, float]] = {}  # at the leader: bans, and since when it knows
         self.in_force: dict[str, int] = {}  # at the leader: by which bans others act
         self.noted: tuple[str, int] = "", 0
@@ -429,8 +450,10 @@
         if not self.ready or self.out:
             self.ready_since = now
         elif permit is not None and self._begun and now - self.ready_since >= self.state.budget.warm_ms:
-            self._ask_for(Back(f"back/{self.setup.name}/{self.life}/{permit.number}", self.setup.name,
-                               permit.number), now)
+            self._ask_for(
+                Back(f"back/{self.setup.name}/{self.life}/{permit.number}", self.setup.name, permit.number),
+                now,
+            )
 
     def outs(self) -> dict[str, str]:
         """Whom this courier cannot confirm as serving, with their buildings: they count as out."""
@@ -452,14 +475,24 @@
         since = max(self.granted_at, self.record.led_since if self.record.role is Role.LEADER else now)
         apart = max(0.0, self.state.budget.apart_ms - (now - since))
         return msgspec.structs.replace(
-            m, life=life, building=where, out=self.outs(), size=len(names), minute=self.minute,
-            size_building=sum(self.buildings.get(name, "") == where for name in names), apart_left=apart)
+            m,
+            life=life,
+            building=where,
+            out=self.outs(),
+            size=len(names),
+            minute=self.minute,
+            size_building=sum(self.buildings.get(name, "") == where for name in names),
+            apart_left=apart,
+        )
 
     def _sees(self, now: float) -> bool:
         """At the leader: whether it surely leads, and has had time to see who is there."""
         rhythm = self.setup.rhythm
-        return (now < self.record.leads_until(now) and self.record.applied == self.record.commit
-                and now - self.record.led_since >= 2 * rhythm.every + rhythm.patience)
+        return (
+            now < self.record.leads_until(now)
+            and self.record.applied == self.record.commit
+            and now - self.record.led_since >= 2 * rhythm.every + rhythm.patience
+        )
 
     def _grant_next(self, now: float) -> None:
         """The leader: whoever waits longest goes as soon as the budget lets it; bans end at their time."""
@@ -489,8 +522,18 @@
         rollout, permit = self.state.rollout, self.state.permits.get(self.setup.name)
         if rollout is not None:
             way, number = rollout.parts[self.setup.name].way, permit.number if permit is not None else 0
-            self._ask_for(Progress(f"{event}/{self.setup.name}/{self.life}/{way}/{number}", rollout.number,
-                                   self.setup.name, event, self.kept.incarnation, why, number), now)
+            self._ask_for(
+                Progress(
+                    f"{event}/{self.setup.name}/{self.life}/{way}/{number}",
+                    rollout.number,
+                    self.setup.name,
+                    event,
+                    self.kept.incarnation,
+                    why,
+                    number,
+                ),
+                now,
+            )
 
     def _step(self, now: float) -> None:
         """This courier's part: begin its step once, in its turn, and say how it ended."""
@@ -505,8 +548,11 @@
                 self.told[name] = self.kept.incarnation, self.health
             else:
                 self._fx.sends.append((self.record.leader, self.health))
-        if part.state == releases.WAITS and self.out > self.stepped and (
-                self.state.permits[name].kind == "release"):
+        if (
+            part.state == releases.WAITS
+            and self.out > self.stepped
+            and (self.state.permits[name].kind == "release")
+        ):
             self._progress(releases.BEGAN, "", now)
         elif part.state == releases.BEGAN and part.life == self.kept.incarnation:
             if self.step_ended:
@@ -535,20 +581,33 @@
             self.soaks = "", 0, 0.0
             return
         mark = f"{rollout.number}/{rollout.way}/{rollout.wave}/{self.record.term}"
-        self.began_at = {key: at for key, at in self.began_at.items()
-                         if rollout.parts.get(key[0], releases.Part()).state == releases.BEGAN}
+        self.began_at = {
+            key: at
+            for key, at in self.began_at.items()
+            if rollout.parts.get(key[0], releases.Part()).state == releases.BEGAN
+        }
         for name, part in rollout.parts.items():
             since = self.began_at.setdefault((name, part.way), now) if part.state == releases.BEGAN else now
             if now - since > rollout.plan.step_ms:
                 id = f"late/{name}/{mark}/{part.life}"
-                self._propose(Progress(id, rollout.number, name, releases.FAILED, part.life,
-                                       f"not done within {rollout.plan.step_ms / 1000:g} s"), now)
+                self._propose(
+                    Progress(
+                        id,
+                        rollout.number,
+                        name,
+                        releases.FAILED,
+                        part.life,
+                        f"not done within {rollout.plan.step_ms / 1000:g} s",
+                    ),
+                    now,
+                )
         if rollout.status != releases.RUNNING:
             self.soaks = "", 0, 0.0
             return
         if why := self._amiss(rollout):
-            self._propose(Steer(f"halt/{mark}/{self.state.applied}", "halt", "the fleet", why, "",
-                                rollout.number), now)
+            self._propose(
+                Steer(f"halt/{mark}/{self.state.applied}", "halt", "the fleet", why, "", rollout.number), now
+            )
             return
         for name in rollout.current:
             if rollout.parts[name].state != releases.WAITS:
@@ -557,11 +616,25 @@
                 number, since = self.idle_at.get(name, (0, now))
                 self.idle_at[name] = permit.number, since if number == permit.number else now
                 if now - self.idle_at[name][1] > rollout.plan.step_ms:  # guards against one that never comes
-                    self._propose(Steer(f"idle/{mark}/{permit.number}", "halt", "the fleet",
-                                        f"{name}: has a permit and has not begun", "", rollout.number), now)
+                    self._propose(
+                        Steer(
+                            f"idle/{mark}/{permit.number}",
+                            "halt",
+                            "the fleet",
+                            f"{name}: has a permit and has not begun",
+                            "",
+                            rollout.number,
+                        ),
+                        now,
+                    )
             elif self.may_go(name, now) is None:
-                ask = Ask(f"go/{name}/{mark}/{self.state.applied}", name, "release", rollout.who,
-                          f"release {rollout.plan.name}")
+                ask = Ask(
+                    f"go/{name}/{mark}/{self.state.applied}",
+                    name,
+                    "release",
+                    rollout.who,
+                    f"release {rollout.plan.name}",
+                )
                 self._propose(ask, now)
         if not rollout.through() or any(name in self.state.permits for name in rollout.current):
             self.soaks = "", 0, 0.0
@@ -582,8 +655,11 @@
                 return f"{name}, released, is {member.status.name.lower()}"
             if life > rollout.parts[name].life:
                 return f"{name}, released, has begun anew"
-        here = {name: told for name, told in self.told.items()
-                if name == self.setup.name or self.members.members[name].status is Status.SERVING}
+        here = {
+            name: told
+            for name, told in self.told.items()
+            if name == self.setup.name or self.members.members[name].status is Status.SERVING
+        }
         if done != self.released or any(here.get(n, (0,))[0] != life for n, (life, _) in self.base.items()):
             self.released, self.base = done, dict(here)  # compared over one and the same time from here on
             return ""
@@ -593,8 +669,13 @@
             return (sum(a.ends - b.ends for a, b in found), sum(a.given_up - b.given_up for a, b in found))
 
         rest = here.keys() - done
-        return (releases.out_of_band(rollout.plan, since(done), since(rest)) or releases.piles_up(
-            [here[n][1].owed for n in done if n in here], [here[n][1].owed for n in rest]) or "")
+        return (
+            releases.out_of_band(rollout.plan, since(done), since(rest))
+            or releases.piles_up(
+                [here[n][1].owed for n in done if n in here], [here[n][1].owed for n in rest]
+            )
+            or ""
+        )
 
     # Bans
 
@@ -639,8 +720,9 @@
             self._log("may vote", incarnation=self.kept.incarnation)
         elif now >= self.hello_at:
             self.hello_at = now + self.setup.timing.beat
-            self._fx.sends += [(v, Hello()) for v in self.record.voters
-                               if v != self.setup.name and v not in self.confirmed]
+            self._fx.sends += [
+                (v, Hello()) for v in self.record.voters if v != self.setup.name and v not in self.confirmed
+            ]
 
     def _stale(self, m: Stale, now: float) -> None:
         if m.newest < self.kept.incarnation or m.life == self.life:
@@ -684,8 +766,12 @@
     def _returned(self) -> None:
         """Whether the record says that this voter, once lost, is one again."""
         key = self.state.keys.get(READMIT + self.setup.name)
-        if self.kept.lost and key is not None and key.data == str(self.kept.incarnation) and (
-                self.setup.name in voters_at(self.record, self.record.applied)):
+        if (
+            self.kept.lost
+            and key is not None
+            and key.data == str(self.kept.incarnation)
+            and (self.setup.name in voters_at(self.record, self.record.applied))
+        ):
             self.kept.lost, self._fx.kept, self.record.may_vote = False, True, True
             self._log("votes again", incarnation=self.kept.incarnation)
 
@@ -778,16 +864,29 @@
             self.renewed[command.lease] = now
         if isinstance(command, Ask) and result.ok:
             self.granted_at = now
-            self._log("permit", courier=command.courier, number=result.number, kind=command.kind,
-                      who=command.who, why=command.why, despite=command.despite)
+            self._log(
+                "permit",
+                courier=command.courier,
+                number=result.number,
+                kind=command.kind,
+                who=command.who,
+                why=command.why,
+                despite=command.despite,
+            )
         elif isinstance(command, Back) and result.ok:
             self._log("permit ended", courier=command.courier, number=command.number)
         elif isinstance(command, (Begin, Steer, Progress, Onward)) and result.ok:
             rollout = self.state.rollout or self.state.past[-1]
-            self._log("release", rollout=rollout.plan.name, status=rollout.status, way=rollout.way,
-                      wave=rollout.wave, note=rollout.note, by=getattr(command, "who", "") or getattr(
-                          command, "courier", ""), what=getattr(command, "event", "") or getattr(
-                              command, "verb", ""))
+            self._log(
+                "release",
+                rollout=rollout.plan.name,
+                status=rollout.status,
+                way=rollout.way,
+                wave=rollout.wave,
+                note=rollout.note,
+                by=getattr(command, "who", "") or getattr(command, "courier", ""),
+                what=getattr(command, "event", "") or getattr(command, "verb", ""),
+            )
         if self.state.bans_at == entry.index:
             self.tell_at = 0.0
             self._tell_bans(now)
@@ -850,8 +949,12 @@
         if command.id != m.id:
             return
         # Only the courier itself says that it serves again, and only a leader grants.
-        if (isinstance(command, (Back, Progress)) and command.courier != sender
-                or isinstance(command, Ask) and command.grant):
+        if (
+            isinstance(command, (Back, Progress))
+            and command.courier != sender
+            or isinstance(command, Ask)
+            and command.grant
+        ):
             self._fx.sends.append((sender, Proposed(m.id, Result(False, 0, "not for this courier to say"))))
             return
         self._propose(command, now)
@@ -871,8 +974,12 @@
             rollout = self.state.rollout  # once, by whoever asked in this very life; the word may come before
             if rollout is not None and command.permit > self.stepped:  # the entry does, and be asked for anew
                 self.stepped, self.step_ended = command.permit, None
-                self._fx.step = (rollout.plan.step, rollout.parts[self.setup.name].way, rollout.plan.name,
-                                 command.permit)
+                self._fx.step = (
+                    rollout.plan.step,
+                    rollout.parts[self.setup.name].way,
+                    rollout.plan.name,
+                    command.permit,
+                )
         self._fx.results.append((id, result))
 
     # Leases
--- a/ashvale/fleet/members.py
+++ b/ashvale/fleet/members.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-GOSSIP_MOST = 12    # views in one message
-HELPERS = 2         # others who are asked to look where one does not answer
+GOSSIP_MOST = 12  # views in one message
+HELPERS = 2  # others who are asked to look where one does not answer
 PEERS_MOST = 512
 
 
@@ -46,7 +46,7 @@
     view: View
     since: float
     heard: float = -1e15  # when it was last heard by this courier itself
-    told: int = 0         # how often this view was passed on
+    told: int = 0  # how often this view was passed on
 
     @property
     def status(self) -> Status:
@@ -75,8 +75,9 @@
 class Members:
     """One courier's view of the fleet."""
 
-    def __init__(self, name: str, incarnation: int, peers: tuple[str, ...], rhythm: Rhythm, random: Random,
-                 now: float) -> None:
+    def __init__(
+        self, name: str, incarnation: int, peers: tuple[str, ...], rhythm: Rhythm, random: Random, now: float
+    ) -> None:
         self.name, self.rhythm, self.random = name, rhythm, random
         self.own = View(name, incarnation, 0, Status.JOINING)
         self.members = {peer: Member(View(peer, 0, 0, Status.OUT), now) for peer in peers[:PEERS_MOST]}
@@ -113,8 +114,12 @@
             else:
                 del self._open[name]
                 if member is not None and member.status <= Status.SERVING:
-                    self._set(member, View(name, member.view.incarnation, member.view.beat, Status.SUSPECT),
-                              now, self.name)
+                    self._set(
+                        member,
+                        View(name, member.view.incarnation, member.view.beat, Status.SUSPECT),
+                        now,
+                        self.name,
+                    )
         for member in self.members.values():
             if member.status is Status.SUSPECT and now - member.since >= self.rhythm.suspect:
                 v = member.view
@@ -133,8 +138,10 @@
     @property
     def due(self) -> float:
         opens = min((until for until, _ in self._open.values()), default=1e18)
-        ends = min((m.since + self.rhythm.suspect for m in self.members.values()
-                    if m.status is Status.SUSPECT), default=1e18)
+        ends = min(
+            (m.since + self.rhythm.suspect for m in self.members.values() if m.status is Status.SUSPECT),
+            default=1e18,
+        )
         return min(self.next, opens, ends)
 
     def heard(self, view: View, now: float, directly: bool = True) -> None:
@@ -150,8 +157,11 @@
         """What another said of others, and of this courier."""
         for view in views[:GOSSIP_MOST]:
             if view.name == self.name:
-                if view.incarnation == self.own.incarnation and view.status >= Status.SUSPECT and (
-                        view.beat >= self.own.beat and self.own.status < Status.SUSPECT):
+                if (
+                    view.incarnation == self.own.incarnation
+                    and view.status >= Status.SUSPECT
+                    and (view.beat >= self.own.beat and self.own.status < Status.SUSPECT)
+                ):
                     self.own = View(self.name, self.own.incarnation, view.beat + 1, self.own.status)
                 continue
             member = self.members.get(view.name)
@@ -164,7 +174,7 @@
     def gossip(self) -> list[View]:
         """What to tell next: the own view, and those told least."""
         spread = sorted(self.members.values(), key=lambda m: (m.told, m.view.name))
-        chosen = [m for m in spread if m.view.incarnation > 0][:GOSSIP_MOST - 1]
+        chosen = [m for m in spread if m.view.incarnation > 0][: GOSSIP_MOST - 1]
         for member in chosen:
             member.told += 1
         return [self.own, *(m.view for m in chosen)]
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -53,19 +53,27 @@
     from ashvale.config import Fleet
 
 VERSION = 1
-BODY_MOST = 1024 * 1024     # bytes of one message
-CALL_MS = 1500.0            # one call between peers may take so long
+BODY_MOST = 1024 * 1024  # bytes of one message
+CALL_MS = 1500.0  # one call between peers may take so long
 CALLERS_MOST = 64
-WAITING_MOST = 64           # messages that wait for one peer; the oldest go, as the newest say more
-INPUTS_MOST = 1024          # what waits while a save is under way
-LOCK_MS = 500.0             # how often a folder is asked for that the process before an upgrade still has
-LOG_MOST = 200              # entries in one answer
-DOOR_MS = 900.0             # a caller at the operator's door waits a second
-ASK_AGAIN_MS = 5000.0       # when to come back after a no for which nothing better is known
-STEP_LOOK_MS = 100.0        # how often the command of a step is looked after
+WAITING_MOST = 64  # messages that wait for one peer; the oldest go, as the newest say more
+INPUTS_MOST = 1024  # what waits while a save is under way
+LOCK_MS = 500.0  # how often a folder is asked for that the process before an upgrade still has
+LOG_MOST = 200  # entries in one answer
+DOOR_MS = 900.0  # a caller at the operator's door waits a second
+ASK_AGAIN_MS = 5000.0  # when to come back after a no for which nothing better is known
+STEP_LOOK_MS = 100.0  # how often the command of a step is looked after
 _ORDERS = ("put", "drain", "ready", "forget", "budget", "ban", "unban", "release", "steer")
-_REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
-            409: "Conflict", 413: "Too Large", 503: "Service Unavailable"}
+_REASONS = {
+    200: "OK",
+    204: "No Content",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Too Large",
+    503: "Service Unavailable",
+}
 _encode = msgspec.msgpack.Encoder().encode
 _decoder = msgspec.msgpack.Decoder(Envelope)
 log = logging.getLogger(__name__)
@@ -95,7 +103,7 @@
 
     who: str = ""
     why: str = ""
-    courier: str = ""      # this one where none is named
+    courier: str = ""  # this one where none is named
     kind: str = "drain"
     wait: bool = False
     despite: str = ""
@@ -159,7 +167,8 @@
             data = self.waiting.popleft()
             try:
                 status, body = yield from self.channel.ask(
-                    "POST", self.target, data, self.loop.now() + CALL_MS)
+                    "POST", self.target, data, self.loop.now() + CALL_MS
+                )
             except (Broken, Expired):
                 continue  # who needs it asks again
             if status != 204:
@@ -172,22 +181,32 @@
 class Node:
     """One courier's part in the fleet, on a loop."""
 
-    def __init__(self, loop: Loop, told: Fleet, state: Path, service: Optional[Service] = None,
-                 random: Optional[Random] = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        told: Fleet,
+        state: Path,
+        service: Optional[Service] = None,
+        random: Optional[Random] = None,
+    ) -> None:
         self.loop, self.told, self.service = loop, told, service or Service()
         self._drained, self._bans = False, frozenset[str]()
         self.folder = state / "fleet"
         self.random = random or Random(os.urandom(16))
         self.life = os.urandom(8).hex()
         self.setup = Setup(
-            told.name, told.courier, tuple(p.name for p in told.peers if p.name != told.courier),
+            told.name,
+            told.courier,
+            tuple(p.name for p in told.peers if p.name != told.courier),
             tuple(p.name for p in told.peers if p.votes),
             Timing(told.election_ms, told.beat_ms, told.drift),
-            Rhythm(told.every_ms, 0.8 * told.every_ms, told.suspect_ms), told.follow_ms,
-            tuple((p.name, p.building) for p in told.peers if p.building))
+            Rhythm(told.every_ms, 0.8 * told.every_ms, told.suspect_ms),
+            told.follow_ms,
+            tuple((p.name, p.building) for p in told.peers if p.building),
+        )
         self.store: Optional[Store] = None
         self.agent: Optional[Agent] = None
-        self.why = "not begun"       # why it takes no part
+        self.why = "not begun"  # why it takes no part
         self._inputs: deque[Callable[[Agent], Effects]] = deque()
         self._saving = False
         self._timer: Optional[Timer] = None
@@ -198,8 +217,9 @@
         self._trusted = {p.address[0] for p in told.peers} | {"127.0.0.1", "::1"}
         self.listener: Optional[Listener] = None
         self.ended = False
-        self.tasks: list[Task] = [loop.spawn(lasting(loop, peer.run, "fleet peer"), "fleet peer")
-                                  for peer in self.peers.values()]
+        self.tasks: list[Task] = [
+            loop.spawn(lasting(loop, peer.run, "fleet peer"), "fleet peer") for peer in self.peers.values()
+        ]
         self._begin()
 
     def _begin(self) -> None:
@@ -227,13 +247,20 @@
             return
         if self.store is None:  # it tells whoever asks why it takes no part
             return
-        self.agent = Agent(self.setup, self.store.saved, self.store.kept, self.life, self.random,
-                           self.loop.now())
+        self.agent = Agent(
+            self.setup, self.store.saved, self.store.kept, self.life, self.random, self.loop.now()
+        )
         self.agent.version = self.told.version
         self.why = ""
-        log.info("takes part in the fleet", extra={
-            "fleet": self.told.name, "courier": self.told.courier,
-            "incarnation": self.agent.kept.incarnation, "voters": ",".join(self.agent.record.voters)})
+        log.info(
+            "takes part in the fleet",
+            extra={
+                "fleet": self.told.name,
+                "courier": self.told.courier,
+                "incarnation": self.agent.kept.incarnation,
+                "voters": ",".join(self.agent.record.voters),
+            },
+        )
         self._input(lambda agent: agent.tick(self.loop.now()))
 
     # Save, send, tell
@@ -304,8 +331,10 @@
             self._timer.cancel()
             self._timer = None
         if self.agent is not None and not self._saving and not self.why and (due := self.agent.due) < 1e17:
-            self._timer = self.loop.call_at(max(due, self.loop.now() + 1.0), lambda: self._input(
-                lambda agent: agent.tick(self.loop.now())))
+            self._timer = self.loop.call_at(
+                max(due, self.loop.now() + 1.0),
+                lambda: self._input(lambda agent: agent.tick(self.loop.now())),
+            )
 
     # What a courier asks
 
@@ -332,25 +361,55 @@
     def status(self) -> dict[str, Any]:
         """All that this courier knows, for `ashvale fleet status`."""
         agent, now = self.agent, self.loop.now()
-        told: dict[str, Any] = {"fleet": self.told.name, "courier": self.told.courier, "life": self.life,
-                                "part": not self.why, "why": self.why}
+        told: dict[str, Any] = {
+            "fleet": self.told.name,
+            "courier": self.told.courier,
+            "life": self.life,
+            "part": not self.why,
+            "why": self.why,
+        }
         if agent is None:
             return told
         record = agent.record
         told |= {
-            "incarnation": agent.kept.incarnation, "lost": agent.kept.lost, "why": self.why or agent.stopped,
-            "leader": record.leader, "role": record.role.value, "term": record.term, "commit": record.commit,
-            "last": record.last, "applied": agent.state.applied, "voters": list(record.voters),
+            "incarnation": agent.kept.incarnation,
+            "lost": agent.kept.lost,
+            "why": self.why or agent.stopped,
+            "leader": record.leader,
+            "role": record.role.value,
+            "term": record.term,
+            "commit": record.commit,
+            "last": record.last,
+            "applied": agent.state.applied,
+            "voters": list(record.voters),
             "votes": agent.kept.lost is False and record.may_vote,
             "majority": record.leads_until(now) > now if record.role is Role.LEADER else bool(record.leader),
-            "members": [{"name": self.told.courier, "status": Status(agent.members.own.status).name.lower(),
-                         "incarnation": agent.kept.incarnation, "since_ms": 0}, *(
-                {"name": name, "status": m.status.name.lower(), "incarnation": m.view.incarnation,
-                 "since_ms": round(now - m.since)} for name, m in sorted(agent.members.members.items()))],
-            "leases": {name: {"holder": lease.holder, "number": lease.number, "ttl_ms": lease.ttl}
-                       for name, lease in sorted(agent.state.leases.items())},
-            "keys": {key: {"data": value.data, "index": value.index}
-                     for key, value in sorted(agent.state.keys.items())[:LOG_MOST]}}
+            "members": [
+                {
+                    "name": self.told.courier,
+                    "status": Status(agent.members.own.status).name.lower(),
+                    "incarnation": agent.kept.incarnation,
+                    "since_ms": 0,
+                },
+                *(
+                    {
+                        "name": name,
+                        "status": m.status.name.lower(),
+                        "incarnation": m.view.incarnation,
+                        "since_ms": round(now - m.since),
+                    }
+                    for name, m in sorted(agent.members.members.items())
+                ),
+            ],
+            "leases": {
+                name: {"holder": lease.holder, "number": lease.number, "ttl_ms": lease.ttl}
+                for name, lease in sorted(agent.state.leases.items())
+            },
+            "keys": {
+                key: {"data": value.data, "index": value.index}
+                for key, value in sorted(agent.state.keys.items())[:LOG_MOST]
+            },
+        }
         return told | self._service_status(agent, now)
 
     def _service_status(self, agent: Agent, now: float) -> dict[str, Any]:
@@ -360,19 +419,33 @@
         names = [self.told.courier, *self.setup.peers]
         leader = next((p.address for p in self.told.peers if p.name == agent.record.leader), ("", 0))
         return {
-            "leader_at": f"{leader[0]}:{leader[1]}", "out": agent.out, "ready": self.service.ready(),
+            "leader_at": f"{leader[0]}:{leader[1]}",
+            "out": agent.out,
+            "ready": self.service.ready(),
             "budget": msgspec.to_builtins(state.budget),
             "permits": {name: msgspec.to_builtins(permit) for name, permit in sorted(state.permits.items())},
             "queue": [msgspec.to_builtins(waiting) for waiting in state.queue],
             "counted_out": sorted({*agent.outs(), *state.permits}),
-            "release": msgspec.to_builtins(state.rollout), "past": msgspec.to_builtins(state.past),
-            "health": {name: [h.ends, h.given_up, h.owed] for name, (_, h) in sorted(agent.told.items())
-                       } if leads else {self.told.courier: list(self.service.health())},
-            "version": self.told.version, "by_hand": self.service.by_hand(),
-            "bans": {name: msgspec.to_builtins(ban) | ({
-                "confirmed": sorted(n for n in names if known.get(n, 0) >= ban.number),
-                "missing": sorted(n for n in names if known.get(n, 0) < ban.number)} if leads else {})
-                for name, ban in sorted(state.bans.items())}}
+            "release": msgspec.to_builtins(state.rollout),
+            "past": msgspec.to_builtins(state.past),
+            "health": {name: [h.ends, h.given_up, h.owed] for name, (_, h) in sorted(agent.told.items())}
+            if leads
+            else {self.told.courier: list(self.service.health())},
+            "version": self.told.version,
+            "by_hand": self.service.by_hand(),
+            "bans": {
+                name: msgspec.to_builtins(ban)
+                | (
+                    {
+                        "confirmed": sorted(n for n in names if known.get(n, 0) >= ban.number),
+                        "missing": sorted(n for n in names if known.get(n, 0) < ban.number),
+                    }
+                    if leads
+                    else {}
+                )
+                for name, ban in sorted(state.bans.items())
+            },
+        }
 
     def entries(self) -> list[dict[str, Any]]:
         """The latest decided entries."""
@@ -380,8 +453,10 @@
             return []
         record = self.agent.record
         decided = [e for e in record.log if e.index <= record.commit][-LOG_MOST:]
-        return [{"index": e.index, "term": e.term, "kind": e.kind,
-                 "data": e.data.decode("utf-8", "replace")} for e in decided]
+        return [
+            {"index": e.index, "term": e.term, "kind": e.kind, "data": e.data.decode("utf-8", "replace")}
+            for e in decided
+        ]
 
     # The peers' door
 
@@ -405,8 +480,12 @@
                 status, body = error.error_status_hint, b""
             except _TooLarge:
                 status = 413
-            head = h11.Response(status_code=status, reason=_REASONS.get(status, "No"), headers=[
-                ("Content-Length", str(len(body)))] + ([("Connection", "close")] if status >= 400 else []))
+            head = h11.Response(
+                status_code=status,
+                reason=_REASONS.get(status, "No"),
+                headers=[("Content-Length", str(len(body)))]
+                + ([("Connection", "close")] if status >= 400 else []),
+            )
             out = (http.send(head) or b"") + (http.send(h11.Data(data=body)) or b"" if body else b"")
             out += http.send(h11.EndOfMessage()) or b""
             yield from connection.send(out, self.loop.now() + CALL_MS)
@@ -414,8 +493,9 @@
                 return
             http.start_next_cycle()
 
-    def _request(self, connection: Connection,
-                 http: h11.Connection) -> Coroutine[Optional[tuple[str, str, bytes]]]:
+    def _request(
+        self, connection: Connection, http: h11.Connection
+    ) -> Coroutine[Optional[tuple[str, str, bytes]]]:
         """One request, whole and bounded; None at the end. A peer may rest between two."""
         assert self.listener is not None
         head: Optional[h11.Request] = None
@@ -537,8 +617,18 @@
         if (found := self.service.endpoint(order.endpoint)) is None:
             raise ValueError(f"'endpoint' is '{order.endpoint[:80]}', which was never listed")
         partner, building, listed, ready = found
-        return Maint(self.id(), order.endpoint, partner, order.who, order.why, building, order.ends_ms,
-                     order.despite, listed, ready)
+        return Maint(
+            self.id(),
+            order.endpoint,
+            partner,
+            order.who,
+            order.why,
+            building,
+            order.ends_ms,
+            order.despite,
+            listed,
+            ready,
+        )
 
     def decide(self, command: Command, until: float) -> Coroutine[Result]:
         """Have a command decided; after `until` it is told as unknown."""
@@ -570,9 +660,19 @@
             agent.step_ended = f"no command for step '{step}', {way}, in the file of {self.told.courier}"
             return
         try:
-            process = subprocess.Popen(words, stdin=subprocess.DEVNULL, start_new_session=True, env={
-                **os.environ, "ASHVALE_STEP": step, "ASHVALE_WAY": way, "ASHVALE_RELEASE": release,
-                "ASHVALE_PID": str(os.getpid()), "ASHVALE_PERMIT": str(permit)})
+            process = subprocess.Popen(
+                words,
+                stdin=subprocess.DEVNULL,
+                start_new_session=True,
+                env={
+                    **os.environ,
+                    "ASHVALE_STEP": step,
+                    "ASHVALE_WAY": way,
+                    "ASHVALE_RELEASE": release,
+                    "ASHVALE_PID": str(os.getpid()),
+                    "ASHVALE_PERMIT": str(permit),
+                },
+            )
         except OSError as error:
             agent.step_ended = f"step '{step}' cannot be run: {error}"
             return
--- a/ashvale/fleet/permits.py
+++ b/ashvale/fleet/permits.py
@@ -13,8 +13,8 @@
 import msgspec
 
 PERMITS_MOST, QUEUE_MOST, BANS_MOST = 1024, 512, 1024
-REASON_MOST = 400      # characters of a reason or a name
-AGAIN_MS = 5000.0      # when to come back, where nothing better is known
+REASON_MOST = 400  # characters of a reason or a name
+AGAIN_MS = 5000.0  # when to come back, where nothing better is known
 KINDS = ("drain", "restart", "release")
 
 
@@ -152,14 +152,23 @@
     return left * 60_000.0
 
 
-def may_go(budget: Budget, permits: dict[str, Permit], queue: list[Waiting], courier: str, building: str,
-           out: dict[str, str], size: int, size_building: int, minute: int,
-           apart_left: float) -> Optional[No]:
+def may_go(
+    budget: Budget,
+    permits: dict[str, Permit],
+    queue: list[Waiting],
+    courier: str,
+    building: str,
+    out: dict[str, str],
+    size: int,
+    size_building: int,
+    minute: int,
+    apart_left: float,
+) -> Optional[No]:
     """Whether a courier may go now; None where it may.
 
     `out` are couriers, by name with their building, that the leader counts as out for whatever reason.
     """
-    ahead = [w.courier for w in queue[:next((n for n, w in enumerate(queue) if w.courier == courier), None)]]
+    ahead = [w.courier for w in queue[: next((n for n, w in enumerate(queue) if w.courier == courier), None)]]
     if ahead:
         return No(f"{len(ahead)} wait before it: {', '.join(ahead[:3])}")
     gone = out | {name: permit.building for name, permit in permits.items()}
@@ -169,8 +178,10 @@
     if budget.out_building and building:
         near = {name: "" for name, where in gone.items() if where == building}
         if len(near) >= limit(budget.out_building, size_building):
-            return No(f"{len(near)} of {size_building} in {building} are out already ({_names(near)}); "
-                      f"at once {budget.out_building} may be")
+            return No(
+                f"{len(near)} of {size_building} in {building} are out already ({_names(near)}); "
+                f"at once {budget.out_building} may be"
+            )
     if left := quiet(budget, minute):
         return No("quiet hours", left)
     if apart_left > 0.0:
@@ -178,8 +189,14 @@
     return None
 
 
-def may_ban(budget: Budget, bans: dict[str, Ban], endpoint: str, building: str,
-            listed: dict[str, str], ready: dict[str, str]) -> Optional[No]:
+def may_ban(
+    budget: Budget,
+    bans: dict[str, Ban],
+    endpoint: str,
+    building: str,
+    listed: dict[str, str],
+    ready: dict[str, str],
+) -> Optional[No]:
     """Whether an endpoint may be banned; None where it may.
 
     `listed` are all endpoints of its partner by name with their building, `ready` those that serve.
@@ -191,8 +208,10 @@
         near = [name for name, where in left.items() if where == building]
         size = sum(where == building for where in listed.values())
         if len(near) < (least := limit(budget.left_building, size)):
-            return No(f"{len(near)} of {size} endpoints of its partner in {building} would be left; "
-                      f"{least} have to be")
+            return No(
+                f"{len(near)} of {size} endpoints of its partner in {building} would be left; "
+                f"{least} have to be"
+            )
     return None
 
 
--- a/ashvale/fleet/record.py
+++ b/ashvale/fleet/record.py
@@ -18,11 +18,11 @@
 
 import msgspec
 
-ENTRIES_MOST = 128           # in one message
-BYTES_MOST = 256 * 1024      # of entries in one message, but for one that is larger alone
-DATA_MOST = 64 * 1024        # of one entry
+ENTRIES_MOST = 128  # in one message
+BYTES_MOST = 256 * 1024  # of entries in one message, but for one that is larger alone
+DATA_MOST = 64 * 1024  # of one entry
 VOTERS_MOST = 7
-OPEN_MOST = 1024             # entries of a leader that are not decided yet
+OPEN_MOST = 1024  # entries of a leader that are not decided yet
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -113,7 +113,7 @@
 
 class Role(Enum):
     FOLLOWER = "follower"
-    ASKS = "asks"            # whether it would be voted for
+    ASKS = "asks"  # whether it would be voted for
     CANDIDATE = "candidate"
     LEADER = "leader"
 
@@ -141,8 +141,8 @@
 class Out:
     """What one step brings: first save, then send, then apply."""
 
-    hard: bool = False                 # term and vote are to be saved
-    cut: Optional[int] = None          # entries from here on go, before others are added
+    hard: bool = False  # term and vote are to be saved
+    cut: Optional[int] = None  # entries from here on go, before others are added
     entries: list[Entry] = field(default_factory=list)
     installed: Optional[Snapshot] = None  # takes the place of the whole log, and is applied first
     messages: list[tuple[str, Message]] = field(default_factory=list)
@@ -175,14 +175,14 @@
         self.voters = self._configured()
         self.commit = self.applied = self.snapshot.index
         self.role, self.leader = Role.FOLLOWER, ""
-        self.may_vote = False       # until others have said that nothing of this name is newer
-        self.heard = now            # guards an old leader's time: who has just begun may have heard it before
+        self.may_vote = False  # until others have said that nothing of this name is newer
+        self.heard = now  # guards an old leader's time: who has just begun may have heard it before
         self.deadline = self._later(now)
         self.votes: set[str] = set()
         self.next: dict[str, int] = {}
         self.match: dict[str, int] = {}
-        self.acked: dict[str, float] = {}   # by own clock: when what a peer answered last was sent
-        self.asked: dict[str, float] = {}   # when something is to be sent again, whatever comes
+        self.acked: dict[str, float] = {}  # by own clock: when what a peer answered last was sent
+        self.asked: dict[str, float] = {}  # when something is to be sent again, whatever comes
         self.led_since = now
 
     # The log
@@ -201,7 +201,7 @@
     def after(self, index: int) -> list[Entry]:
         """Entries behind `index`, as many as one message takes."""
         found, size = list[Entry](), 0
-        for entry in self.log[index - self.snapshot.index:][:ENTRIES_MOST]:
+        for entry in self.log[index - self.snapshot.index :][:ENTRIES_MOST]:
             size += len(entry.data)
             if found and size > BYTES_MOST:
                 break
@@ -226,14 +226,14 @@
 
     def _cut(self, index: int, out: Out) -> None:
         assert index > self.commit, "what is decided is never cut"
-        del self.log[index - self.snapshot.index - 1:]
+        del self.log[index - self.snapshot.index - 1 :]
         out.cut = index if out.cut is None else min(index, out.cut)
         self.voters = self._configured()
 
     def _decide(self, index: int, out: Out) -> None:
         self.commit = max(self.commit, min(index, self.last))
         start = self.applied - self.snapshot.index
-        new = self.log[start:self.commit - self.snapshot.index]
+        new = self.log[start : self.commit - self.snapshot.index]
         out.decided += new
         self.applied = self.commit
 
@@ -245,7 +245,7 @@
     def compact(self, index: int, state: bytes) -> Snapshot:
         """Forget entries up to `index`, which have been applied and came to `state`; the caller saves it."""
         assert self.snapshot.index <= index <= self.applied
-        term, kept = self.term_at(index), self.log[index - self.snapshot.index:]
+        term, kept = self.term_at(index), self.log[index - self.snapshot.index :]
         self.snapshot, self.log = Snapshot(index, term or 0, voters_at(self, index), state), kept
         return self.snapshot
 
@@ -274,8 +274,9 @@
 
     def quorum_at(self, now: float) -> float:
         """Up to when, by the own clock, a majority is known to have followed."""
-        times = sorted((now if v == self.name else self.acked.get(v, self.led_since) for v in self.voters),
-                       reverse=True)
+        times = sorted(
+            (now if v == self.name else self.acked.get(v, self.led_since) for v in self.voters), reverse=True
+        )
         return times[majority(self.voters) - 1] if times else now
 
     def leads_until(self, now: float) -> float:
@@ -295,8 +296,9 @@
         self._request(self.term + 1, True, now, out)
 
     def _request(self, term: int, pre: bool, now: float, out: Out) -> None:
-        out.messages += [(peer, Vote(term, self.last, self._last_term(), pre))
-                         for peer in self.voters if peer != self.name]
+        out.messages += [
+            (peer, Vote(term, self.last, self._last_term(), pre)) for peer in self.voters if peer != self.name
+        ]
         self._count(now, out)
 
     def _count(self, now: float, out: Out) -> None:
@@ -408,7 +410,7 @@
             return self.commit
         # Guards what this courier has said that it holds: entries behind the snapshot that fit it stay.
         fits = self.term_at(snapshot.index) == snapshot.term
-        kept = self.log[snapshot.index - self.snapshot.index:] if fits else []
+        kept = self.log[snapshot.index - self.snapshot.index :] if fits else []
         self.snapshot, self.log = snapshot, kept
         self.voters = self._configured()
         self.commit = self.applied = snapshot.index
@@ -453,8 +455,9 @@
         if start < self.snapshot.index or term is None:
             out.messages.append((peer, Install(self.term, self.snapshot, now)))
         else:
-            out.messages.append((peer, Append(self.term, start, term, tuple(self.after(start)), self.commit,
-                                              now)))
+            out.messages.append(
+                (peer, Append(self.term, start, term, tuple(self.after(start)), self.commit, now))
+            )
 
     # Decisions
 
@@ -479,7 +482,7 @@
     def change(self, voters: Iterable[str], now: float) -> tuple[Entry, Out]:
         """Other voters: one more or one less than now, and only once the last change is decided."""
         wanted = tuple(sorted(set(voters)))
-        if any(e.kind == "voters" for e in self.log[self.commit - self.snapshot.index:]):
+        if any(e.kind == "voters" for e in self.log[self.commit - self.snapshot.index :]):
             raise Refused("a change of voters is under way")
         if self.role is Role.LEADER and self.term_at(self.commit) != self.term:
             raise Refused("nothing of this term is decided yet")
@@ -522,6 +525,6 @@
 def voters_at(record: Record, index: int) -> tuple[str, ...]:
     """The voters by the entries up to `index`."""
     voters = record.snapshot.voters
-    for entry in record.log[:index - record.snapshot.index]:
+    for entry in record.log[: index - record.snapshot.index]:
         voters = voters_of(entry.data) if entry.kind == "voters" else voters
     return voters
--- a/ashvale/fleet/releases.py
+++ b/ashvale/fleet/releases.py
@@ -78,8 +78,16 @@
     def at_work(self, courier: str) -> bool:
         """Whether this courier is out of service for its part, once it has a permit."""
         part = self.parts.get(courier)
-        return part is not None and self.status != OVER and (
-            part.state == BEGAN or part.state == WAITS and self.status == RUNNING and courier in self.current)
+        return (
+            part is not None
+            and self.status != OVER
+            and (
+                part.state == BEGAN
+                or part.state == WAITS
+                and self.status == RUNNING
+                and courier in self.current
+            )
+        )
 
     def untouched(self) -> bool:
         """Whether the current wave is left as it was, so that there is nothing to wait for."""
@@ -129,8 +137,9 @@
     return msgspec.structs.replace(release, status=HALTED, note=why[:REASON_MOST])
 
 
-def progress(release: Rollout, courier: str, event: str, life: int, why: str,
-             permitted: bool) -> Rollout | str:
+def progress(
+    release: Rollout, courier: str, event: str, life: int, why: str, permitted: bool
+) -> Rollout | str:
     """A courier's step has begun, is done or has failed; the release after it, or why that cannot be."""
     part = release.parts.get(courier)
     if part is None or release.status == OVER:
@@ -147,8 +156,9 @@
         return _with(release, courier, Part(WAITS, BACK, life, why[:REASON_MOST]))
     if event == DONE:
         return _with(release, courier, Part(DONE, part.way, life))
-    return halted(_with(release, courier, Part(FAILED, part.way, life, why[:REASON_MOST])),
-                  f"{courier}: {why}")
+    return halted(
+        _with(release, courier, Part(FAILED, part.way, life, why[:REASON_MOST])), f"{courier}: {why}"
+    )
 
 
 def onward(release: Rollout, wave: int) -> Rollout | str:
@@ -157,8 +167,9 @@
         return "not through with that wave"
     if wave + 1 < len(release.waves):
         return msgspec.structs.replace(release, wave=wave + 1)
-    return msgspec.structs.replace(release, status=OVER, wave=wave + 1,
-                                   note="done" if release.way == OUT else "all went back")
+    return msgspec.structs.replace(
+        release, status=OVER, wave=wave + 1, note="done" if release.way == OUT else "all went back"
+    )
 
 
 def steer(release: Rollout, verb: str, courier: str, why: str) -> Rollout | str:
@@ -219,6 +230,8 @@
     gap, share = bad / n - worse / m, (bad + worse) / (n + m)
     spread = (share * (1.0 - share) * (1.0 / n + 1.0 / m)) ** 0.5
     if gap > plan.band and spread > 0.0 and gap / spread > Z_LEAST:
-        return (f"{bad} of {n} ends at those released were given up, {worse} of {m} at the others "
-                f"(z {gap / spread:.1f})")
+        return (
+            f"{bad} of {n} ends at those released were given up, {worse} of {m} at the others "
+            f"(z {gap / spread:.1f})"
+        )
     return None
--- a/ashvale/fleet/state.py
+++ b/ashvale/fleet/state.py
@@ -188,8 +188,9 @@
     wave: int
 
 
-Command = Union[Acquire, Release, Put, Declare, Ask, Call, Back, Forget, Maint, Unban, Begin, Steer,
-                Progress, Onward]
+Command = Union[
+    Acquire, Release, Put, Declare, Ask, Call, Back, Forget, Maint, Unban, Begin, Steer, Progress, Onward
+]
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -320,8 +321,18 @@
 
     def may_go(self, m: Ask) -> Optional[No]:
         """Whether a courier would be granted leave, by what the leader filled in; None where it would."""
-        return rules.may_go(self.budget, self.permits, self.queue, m.courier, m.building, m.out, m.size,
-                            m.size_building, m.minute, m.apart_left)
+        return rules.may_go(
+            self.budget,
+            self.permits,
+            self.queue,
+            m.courier,
+            m.building,
+            m.out,
+            m.size,
+            m.size_building,
+            m.minute,
+            m.apart_left,
+        )
 
     def _ask(self, index: int, m: Ask) -> Result:
         """A permit, a place in the queue, or no. A second permit takes the first one's place: what was said
@@ -339,8 +350,9 @@
             no = No("too many permits")
         if no is None:
             kept.queue = [w for w in kept.queue if w.courier != m.courier]
-            kept.permits[m.courier] = Permit(index, m.kind, m.who, m.why, m.building, m.life,
-                                             False, m.despite)
+            kept.permits[m.courier] = Permit(
+                index, m.kind, m.who, m.why, m.building, m.life, False, m.despite
+            )
             if m.despite and kept.rollout is not None and kept.rollout.status == releases.RUNNING:
                 why = f"{m.courier} went despite the budget: {m.despite}"
                 self._stands(releases.halted(kept.rollout, why))
@@ -400,8 +412,9 @@
         else:
             permit = kept.permits.get(m.courier)
             by = permit is not None and permit.kind == "release" and permit.number == m.permit
-            after = releases.progress(found, m.courier, m.event, m.life, m.why,
-                                      by and permit is not None and not permit.back)
+            after = releases.progress(
+                found, m.courier, m.event, m.life, m.why, by and permit is not None and not permit.back
+            )
         if isinstance(after, str):
             return Result(False, found.number, after)
         self._stands(after)
@@ -418,12 +431,13 @@
         for name, permit in kept.permits.items():
             part = release.parts.get(name)
             same = part is not None and (
-                part.state == releases.BEGAN or before is not None and before.parts.get(name) == part)
+                part.state == releases.BEGAN or before is not None and before.parts.get(name) == part
+            )
             if permit.kind == "release" and not (same and release.at_work(name)):
                 kept.permits[name] = msgspec.structs.replace(permit, back=True)
         kept.rollout = release
         if release.status == releases.OVER:
-            kept.rollout, kept.past = None, [*kept.past, release][-releases.PAST_MOST:]
+            kept.rollout, kept.past = None, [*kept.past, release][-releases.PAST_MOST :]
 
     def _ban(self, index: int, m: Maint | Unban) -> Result:
         kept, known = self._kept, self.bans.get(m.endpoint)
@@ -434,8 +448,11 @@
         else:
             if not m.why.strip() or not m.who.strip() or m.ends_ms < 0.0:
                 return Result(False, 0, "a reason, a name and an end that is not past are needed")
-            no = None if known or m.despite else rules.may_ban(
-                kept.budget, kept.bans, m.endpoint, m.building, m.listed, m.ready)
+            no = (
+                None
+                if known or m.despite
+                else rules.may_ban(kept.budget, kept.bans, m.endpoint, m.building, m.listed, m.ready)
+            )
             if no is None and known is None and len(kept.bans) >= rules.BANS_MOST:
                 no = No("too many endpoints are banned")
             if no is not None:
--- a/ashvale/fleet/store.py
+++ b/ashvale/fleet/store.py
@@ -55,7 +55,7 @@
     if at + _HEAD.size > len(data):
         return None
     magic, size, check = _HEAD.unpack_from(data, at)
-    payload = data[at + _HEAD.size:at + _HEAD.size + size]
+    payload = data[at + _HEAD.size : at + _HEAD.size + size]
     if magic != MAGIC or len(payload) != size or xxhash.xxh64_intdigest(payload, FORMAT) != check:
         return None
     return payload, at + _HEAD.size + size
@@ -87,8 +87,10 @@
         later = data.find(MAGIC, end + 1)
         while later >= 0:
             if _at(data, later) is not None:
-                raise Spoilt(f"{self.path}: spoilt at byte {end}, with whole records behind; put the folder "
-                             "aside and start with an empty one: the fleet takes this courier in again")
+                raise Spoilt(
+                    f"{self.path}: spoilt at byte {end}, with whole records behind; put the folder "
+                    "aside and start with an empty one: the fleet takes this courier in again"
+                )
             later = data.find(MAGIC, later + 1)
         saved, kept = Saved(), Kept()
         try:
@@ -100,7 +102,7 @@
                 kept.lost = True
         except msgspec.MsgspecError as error:
             raise Spoilt(f"{self.path}: cannot be read ({error}); it may be of a newer version") from None
-        if data and not found and not data.startswith(MAGIC[:len(data)]):  # a first frame may be cut short
+        if data and not found and not data.startswith(MAGIC[: len(data)]):  # a first frame may be cut short
             raise Spoilt(f"{self.path}: no record of this program; put it aside")
         self._file = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
         os.ftruncate(self._file, end)
@@ -109,8 +111,10 @@
             self._append(self._owner(self._file))
             self._sync_folder()
         elif self.copied:
-            self._replace(b"".join(frame(kind, raw) for kind, raw in found if kind not in (OWNER, KEPT))
-                          + frame(KEPT, kept))
+            self._replace(
+                b"".join(frame(kind, raw) for kind, raw in found if kind not in (OWNER, KEPT))
+                + frame(KEPT, kept)
+            )
         return saved, kept
 
     def _replay(self, saved: Saved, kind: int, raw: msgspec.Raw) -> None:
@@ -122,8 +126,10 @@
             if version > FORMAT:
                 raise Spoilt(f"{self.path}: written by a newer version ({version}); start that one")
             if (fleet, name) != self.owner:
-                raise Spoilt(f"{self.path}: of courier '{name}' of fleet '{fleet}', and this is "
-                             f"'{self.owner[1]}' of '{self.owner[0]}': name the right folder")
+                raise Spoilt(
+                    f"{self.path}: of courier '{name}' of fleet '{fleet}', and this is "
+                    f"'{self.owner[1]}' of '{self.owner[0]}': name the right folder"
+                )
         elif kind == HARD:
             saved.term, saved.vote = msgspec.msgpack.decode(raw, type=tuple[int, str])
         elif kind == CUT:
@@ -145,8 +151,12 @@
         whole = fx.compacted or self._size > REWRITE_OVER or any(out.installed for out in fx.record)
         record = agent.record
         if whole:
-            parts = [frame(SNAPSHOT, record.snapshot), frame(ENTRIES, record.log),
-                     frame(HARD, (record.term, record.vote)), frame(KEPT, agent.kept)]
+            parts = [
+                frame(SNAPSHOT, record.snapshot),
+                frame(ENTRIES, record.log),
+                frame(HARD, (record.term, record.vote)),
+                frame(KEPT, agent.kept),
+            ]
             return b"".join(parts), True
         parts = [frame(KEPT, agent.kept)] if fx.kept else []
         for out in fx.record:
@@ -223,4 +233,4 @@
 def _all(file: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
-        view = view[os.write(file, view):]
+        view = view[os.write(file, view) :]
--- a/ashvale/haproxy.py
+++ b/ashvale/haproxy.py
@@ -21,14 +21,34 @@
 
 SECTIONS = ("defaults", "frontend", "backend", "listen")
 OTHER_SECTIONS = (
-    "global", "peers", "resolvers", "userlist", "mailers", "cache", "program", "ring", "http-errors",
-    "fcgi-app", "log-forward", "crt-list", "crt-store", "traces", "acme", "log-profile")
+    "global",
+    "peers",
+    "resolvers",
+    "userlist",
+    "mailers",
+    "cache",
+    "program",
+    "ring",
+    "http-errors",
+    "fcgi-app",
+    "log-forward",
+    "crt-list",
+    "crt-store",
+    "traces",
+    "acme",
+    "log-profile",
+)
 LMTP_PORT = 24
 _UNITS = {"us": 0.001, "ms": 1.0, "s": 1000.0, "m": 60000.0, "h": 3600000.0, "d": 86400000.0, "": 1.0}
 # Settings of proxies, and the keywords that set them.
-_SETTINGS = {"client_idle_ms": "timeout client", "connect_timeout_ms": "timeout connect",
-             "deadline_ms": "timeout server", "slots": "server maxconn", "retries": "retries",
-             "connections": "maxconn"}
+_SETTINGS = {
+    "client_idle_ms": "timeout client",
+    "connect_timeout_ms": "timeout connect",
+    "deadline_ms": "timeout server",
+    "slots": "server maxconn",
+    "retries": "retries",
+    "connections": "maxconn",
+}
 Values = dict[str, tuple[float, int]]
 _TIME = re.compile(r"(\d+)(us|ms|s|m|h|d)?\Z")
 _PORTS = re.compile(r"(\d+)(?:-(\d+))?\Z")
@@ -60,7 +80,7 @@
     kind: str
     name: str
     line: int
-    binds: list[tuple[str, int, int]] = field(default_factory=list)   # host, port, line
+    binds: list[tuple[str, int, int]] = field(default_factory=list)  # host, port, line
     servers: list[tuple[str, str, int, int]] = field(default_factory=list)  # name, host, port, line
     default_backend: str = ""
     values: dict[str, tuple[float, int]] = field(default_factory=dict)  # setting: value, line
@@ -250,11 +270,43 @@
 
 
 _SERVER_VALUES = {
-    "maxconn", "weight", "inter", "fastinter", "downinter", "rise", "fall", "port", "addr", "cookie",
-    "track", "slowstart", "maxqueue", "minconn", "observe", "error-limit", "on-error", "on-marked-down",
-    "on-marked-up", "source", "ca-file", "crt", "verify", "verifyhost", "sni", "resolvers",
-    "resolve-prefer", "init-addr", "pool-max-conn", "pool-purge-delay", "proto", "check-sni",
-    "check-send-proxy", "namespace", "id", "redir"}
+    "maxconn",
+    "weight",
+    "inter",
+    "fastinter",
+    "downinter",
+    "rise",
+    "fall",
+    "port",
+    "addr",
+    "cookie",
+    "track",
+    "slowstart",
+    "maxqueue",
+    "minconn",
+    "observe",
+    "error-limit",
+    "on-error",
+    "on-marked-down",
+    "on-marked-up",
+    "source",
+    "ca-file",
+    "crt",
+    "verify",
+    "verifyhost",
+    "sni",
+    "resolvers",
+    "resolve-prefer",
+    "init-addr",
+    "pool-max-conn",
+    "pool-purge-delay",
+    "proto",
+    "check-sni",
+    "check-send-proxy",
+    "namespace",
+    "id",
+    "redir",
+}
 
 
 def _timeout(statement: Statement, proxy: Proxy, result: Import) -> None:
@@ -300,8 +352,14 @@
 
 
 _KEYWORDS: dict[str, Callable[[Statement, Proxy, Import], None]] = {
-    "bind": _bind, "server": _server, "timeout": _timeout, "maxconn": _maxconn, "retries": _retries,
-    "mode": _mode, "default_backend": _default_backend}
+    "bind": _bind,
+    "server": _server,
+    "timeout": _timeout,
+    "maxconn": _maxconn,
+    "retries": _retries,
+    "mode": _mode,
+    "default_backend": _default_backend,
+}
 
 
 # Writing
@@ -315,34 +373,57 @@
     """The mail front's file; where sections differ in a value the safer one is taken, and it is reported."""
     fronts = [p for p in found.proxies if p.kind in ("frontend", "listen")]
     backs = [p for p in found.proxies if p.kind in ("backend", "listen") and p.servers]
-    out = ["# Made from HAProxy's configuration. It is off until `enabled` is true; classes, senders and",
-           "# recipients are not to be read from there: those below are a start to be checked.",
-           "enabled = false", "", "[limits]"]
+    out = [
+        "# Made from HAProxy's configuration. It is off until `enabled` is true; classes, senders and",
+        "# recipients are not to be read from there: those below are a start to be checked.",
+        "enabled = false",
+        "",
+        "[limits]",
+    ]
     settings = {
         "client_idle_ms": _one(found, fronts, "client_idle_ms", max, 300000.0),
         "connect_timeout_ms": _one(found, backs, "connect_timeout_ms", min, 1000.0),
         "slots": _one(found, backs, "slots", min, 16.0),
         # HAProxy counts what comes after the first try.
-        "attempts": min(8.0, _one(found, backs, "retries", min, 3.0) + 1.0)}
+        "attempts": min(8.0, _one(found, backs, "retries", min, 3.0) + 1.0),
+    }
     out += [f"{key} = {max(1, round(value))}" for key, value in settings.items()]
     for front in fronts:
         for host, port, _ in front.binds:
-            out += ["", f"[[listen]]  # {front.kind} {_plain(front.name)}",
-                    f"protocol = \"{'lmtp' if port % 1000 == LMTP_PORT else 'smtp'}\"",
-                    f"address = {_quoted(_joined(host, port))}",
-                    f"connections = {max(1, round(front.values.get('connections', (100.0, 0))[0]))}"]
+            out += [
+                "",
+                f"[[listen]]  # {front.kind} {_plain(front.name)}",
+                f'protocol = "{"lmtp" if port % 1000 == LMTP_PORT else "smtp"}"',
+                f"address = {_quoted(_joined(host, port))}",
+                f"connections = {max(1, round(front.values.get('connections', (100.0, 0))[0]))}",
+            ]
     deadline = max(1, round(_one(found, backs, "deadline_ms", min, 16000.0)))
-    out += ["", "[[class]]", "name = \"message\"", "repeat = \"never\"", f"aim_ms = {min(2000, deadline)}",
-            f"deadline_ms = {deadline}", f"window_ms = {deadline}"]
+    out += [
+        "",
+        "[[class]]",
+        'name = "message"',
+        'repeat = "never"',
+        f"aim_ms = {min(2000, deadline)}",
+        f"deadline_ms = {deadline}",
+        f"window_ms = {deadline}",
+    ]
     for back in backs:
-        out += ["", "[[recipient]]", f"match = {_quoted('*@' + _host(back.name))}", "class = \"message\"",
-                f"destination = {_quoted(_named(back.name))}"]
+        out += [
+            "",
+            "[[recipient]]",
+            f"match = {_quoted('*@' + _host(back.name))}",
+            'class = "message"',
+            f"destination = {_quoted(_named(back.name))}",
+        ]
     for back in backs:
         out += ["", "[[destination]]", f"name = {_quoted(_named(back.name))}"]
         for name, host, port, _ in back.servers:
-            out += ["", f"[[destination.instance]]  # server {_plain(name)}",
-                    f"protocol = \"{'lmtp' if port % 1000 == LMTP_PORT else 'smtp'}\"",
-                    f"address = {_quoted(_joined(host, port))}"]
+            out += [
+                "",
+                f"[[destination.instance]]  # server {_plain(name)}",
+                f'protocol = "{"lmtp" if port % 1000 == LMTP_PORT else "smtp"}"',
+                f"address = {_quoted(_joined(host, port))}",
+            ]
     return "\n".join(out) + "\n"
 
 
@@ -362,8 +443,9 @@
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
-def _one(found: Import, proxies: list[Proxy], key: str, choose: Callable[[list[float]], float],
-         usual: float) -> float:
+def _one(
+    found: Import, proxies: list[Proxy], key: str, choose: Callable[[list[float]], float], usual: float
+) -> float:
     """One value for the whole front where sections may each have their own."""
     values = [p.values[key][0] for p in proxies if key in p.values]
     if not values:
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -166,10 +166,10 @@
     tenant: int = 0
     order_key: int = 0
     retried: bool = False
-    attempts: int = 0               # made in an earlier life of the process, as are the next two
+    attempts: int = 0  # made in an earlier life of the process, as are the next two
     ran_at: Optional[float] = None  # send time of the first attempt that may have run
     ran_zone: int = 0
-    kept: bool = False              # taken on in an earlier life, which never tried it
+    kept: bool = False  # taken on in an earlier life, which never tried it
 
 
 @dataclass(frozen=True)
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -25,18 +25,18 @@
 from pathlib import Path
 from typing import Any, Optional
 
-_HEAD = struct.Struct("<BII")      # kind, length, checksum
-_STARTED = struct.Struct("<QdH")   # number, time, zone
-_OUTCOME = struct.Struct("<Q?")    # number, proven not to have run
-_DECIDED = struct.Struct("<Qdd")   # number, advice, keep until; then the state's name
+_HEAD = struct.Struct("<BII")  # kind, length, checksum
+_STARTED = struct.Struct("<QdH")  # number, time, zone
+_OUTCOME = struct.Struct("<Q?")  # number, proven not to have run
+_DECIDED = struct.Struct("<Qdd")  # number, advice, keep until; then the state's name
 _ENDED = struct.Struct("<Q")
-_TRACED = struct.Struct("<dBf")    # behind an outcome, where traced: time, its number, told wait
+_TRACED = struct.Struct("<dBf")  # behind an outcome, where traced: time, its number, told wait
 TAKEN, STARTED, OUTCOME, DECIDED, ENDED = range(1, 6)
 
-RESERVE = 640        # room kept for what is still to be written about an entry: eight executions and its end
+RESERVE = 640  # room kept for what is still to be written about an entry: eight executions and its end
 TRACED_RESERVE = 1280  # and for what a traced message's history adds to that
 NAME_MOST, HISTORY_MOST = 60, 24  # bytes of an instance's name in the history, and its lines
-_BLOCK = 512         # files are counted in whole blocks
+_BLOCK = 512  # files are counted in whole blocks
 _MARGIN = 32 * 1024  # kept free of the disk's limit
 log = logging.getLogger(__name__)
 
@@ -59,27 +59,44 @@
     deadline: float
     body: bytes
     retried: bool = False
-    envelope: str = ""                 # what a front needs to know besides; the exchange passes it on
+    envelope: str = ""  # what a front needs to know besides; the exchange passes it on
     attempts: int = 0
     out_since: Optional[float] = None  # an execution is out since
     out_zone: int = 0
-    ran_at: Optional[float] = None     # send time of the first execution that may have run
+    ran_at: Optional[float] = None  # send time of the first execution that may have run
     ran_zone: int = 0
-    state: str = ""                    # how it ended, once that is decided
+    state: str = ""  # how it ended, once that is decided
     after_ms: float = 0.0
-    keep_until: float = 0.0            # the outcome is remembered until then
-    sends: int = 0                     # attempts that the module has decided on, begun or not
-    order: str = ""                    # its order key; empty where its class keeps no order
-    taken: float = 0.0                 # and when it was taken on
-    resumed: bool = False              # an earlier life of the process took it on
-    trace: str = ""                    # the message's place in a trace; empty where it is not traced
+    keep_until: float = 0.0  # the outcome is remembered until then
+    sends: int = 0  # attempts that the module has decided on, begun or not
+    order: str = ""  # its order key; empty where its class keeps no order
+    taken: float = 0.0  # and when it was taken on
+    resumed: bool = False  # an earlier life of the process took it on
+    trace: str = ""  # the message's place in a trace; empty where it is not traced
     # Of a traced message: each execution's begin, instance, outcome (by number), end and told wait; and with
     # no instance, from when to when no process was there.
     history: list[list[Any]] = field(default_factory=list)
 
-    _KEPT = ("number", "id", "front", "cls", "dest", "tenant", "key", "deadline", "retried", "envelope",
-             "attempts", "out_since", "out_zone", "ran_at", "ran_zone", "state", "after_ms",
-             "keep_until")
+    _KEPT = (
+        "number",
+        "id",
+        "front",
+        "cls",
+        "dest",
+        "tenant",
+        "key",
+        "deadline",
+        "retried",
+        "envelope",
+        "attempts",
+        "out_since",
+        "out_zone",
+        "ran_at",
+        "ran_zone",
+        "state",
+        "after_ms",
+        "keep_until",
+    )
 
     def pack(self) -> bytes:
         kept = self._KEPT + (("trace", "history") if self.trace else ())
@@ -89,9 +106,9 @@
 
     @classmethod
     def unpack(cls, data: bytes) -> Entry:
-        size, = struct.unpack_from("<I", data)
-        fields: dict[str, Any] = json.loads(data[4:4 + size])
-        return cls(body=data[4 + size:], **fields)
+        (size,) = struct.unpack_from("<I", data)
+        fields: dict[str, Any] = json.loads(data[4 : 4 + size])
+        return cls(body=data[4 + size :], **fields)
 
     def started(self, at: float, zone: int, instance: str = "") -> None:
         if self.out_since is not None:  # guards the rule on repeats where an outcome could not be written
@@ -163,8 +180,9 @@
 class Journal:
     """The file and its live entries."""
 
-    def __init__(self, folder: Path, room: int, now: Optional[float] = None,
-                 disk: Optional[Disk] = None) -> None:
+    def __init__(
+        self, folder: Path, room: int, now: Optional[float] = None, disk: Optional[Disk] = None
+    ) -> None:
         """Read what `folder` holds and go on in it; `now` is wall-clock milliseconds."""
         self._now = time.time() * 1000.0 if now is None else now
         self._disk = disk or Disk()
@@ -270,8 +288,9 @@
         for entry in entries:
             entry.started(at, zone, name.decode("utf-8", "ignore"))
 
-    def outcome(self, entry: Entry, never_ran: bool, at: float = 0.0, number: int = 0,
-                told: float = 0.0) -> None:
+    def outcome(
+        self, entry: Entry, never_ran: bool, at: float = 0.0, number: int = 0, told: float = 0.0
+    ) -> None:
         """Write down how an execution ended; `at`, the outcome's `number` and `told` for traced messages."""
         more = _TRACED.pack(at, number, told) if entry.trace else b""
         data = _frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more)
@@ -347,7 +366,7 @@
         at = 0
         while at + _HEAD.size <= len(data):
             kind, size, check = _HEAD.unpack_from(data, at)
-            payload = data[at + _HEAD.size:at + _HEAD.size + size]
+            payload = data[at + _HEAD.size : at + _HEAD.size + size]
             if len(payload) != size or zlib.crc32(payload) != check:
                 break
             _replay(entries, kind, payload)
@@ -364,7 +383,7 @@
     def _write_all(self, file: int, data: bytes) -> int:
         view = memoryview(data)
         while view:
-            view = view[self._disk.write(file, view):]
+            view = view[self._disk.write(file, view) :]
         return len(data)
 
     def close(self) -> None:
@@ -384,13 +403,13 @@
         return
     if kind == STARTED:
         _, begun, zone = _STARTED.unpack_from(payload)
-        found.started(begun, zone, payload[_STARTED.size:].decode("utf-8", "ignore"))
+        found.started(begun, zone, payload[_STARTED.size :].decode("utf-8", "ignore"))
     elif kind == OUTCOME:
         more = _TRACED.unpack_from(payload, _OUTCOME.size) if len(payload) > _OUTCOME.size else ()
         found.outcome(_OUTCOME.unpack_from(payload)[1], *more)
     elif kind == DECIDED:
         _, found.after_ms, found.keep_until = _DECIDED.unpack_from(payload)
-        found.state = payload[_DECIDED.size:].decode()
+        found.state = payload[_DECIDED.size :].decode()
     elif kind == ENDED:
         del entries[found.number]
 
@@ -401,5 +420,3 @@
 
 def _frame(kind: int, payload: bytes) -> bytes:
     return _HEAD.pack(kind, len(payload), zlib.crc32(payload)) + payload
-
-
--- a/ashvale/lab/campaign.py
+++ b/ashvale/lab/campaign.py
@@ -21,8 +21,9 @@
 OUT = 3  # the budget
 
 
-def play(folder: Path, count: int, seed: int, seconds: float,
-         tell: Callable[[str], None] = lambda _what: None) -> tuple[list[str], Counter[str]]:
+def play(
+    folder: Path, count: int, seed: int, seconds: float, tell: Callable[[str], None] = lambda _what: None
+) -> tuple[list[str], Counter[str]]:
     """One campaign; what it broke, and how often what was done."""
     draw, counts, broken = Random(seed), Counter[str](), list[str]()
     rig = Rig(folder, count, 5 if count >= 5 else 3, STEPS)
@@ -54,20 +55,32 @@
 
     def act(now: float) -> None:
         name, by, until = draw.choice(there()), draw.choice(there()), now + draw.uniform(0.5, 8.0)
-        what = draw.choices(("drain", "ready", "release", "steer", "ban", "kill", "stop", "cut", "message"),
-                            (8, 8, 2, 2, 1, 1, 1, 1, 12))[0]
+        what = draw.choices(
+            ("drain", "ready", "release", "steer", "ban", "kill", "stop", "cut", "message"),
+            (8, 8, 2, 2, 1, 1, 1, 1, 12),
+        )[0]
         counts[what] += 1
         if what == "drain":
-            rig.order_unheard(by, "drain", courier=name, wait=draw.random() < 0.5,
-                              kind=draw.choice(("drain", "restart")))
+            rig.order_unheard(
+                by, "drain", courier=name, wait=draw.random() < 0.5, kind=draw.choice(("drain", "restart"))
+            )
         elif what == "ready":
             rig.order_unheard(by, "ready", courier=name)
         elif what == "release":
             order = draw.sample(rig.names, count)
-            waves = [order[at:at + OUT] for at in range(0, count, OUT)]
-            rig.order_unheard(by, "release", plan={
-                "name": "drawn", "step": "note", "waves": waves, "restarts": False, "soak_ms": 300.0,
-                "step_ms": 5000.0})
+            waves = [order[at : at + OUT] for at in range(0, count, OUT)]
+            rig.order_unheard(
+                by,
+                "release",
+                plan={
+                    "name": "drawn",
+                    "step": "note",
+                    "waves": waves,
+                    "restarts": False,
+                    "soak_ms": 300.0,
+                    "step_ms": 5000.0,
+                },
+            )
         elif what == "steer":
             rig.order_unheard(by, "steer", verb=draw.choice(("halt", "resume", "back", "abandon")))
         elif what == "ban":
@@ -110,6 +123,7 @@
                     rig.order(rig.names[0], "ready", courier=name)
             told = rig.status(rig.names[0])
             return not told.get("permits") and not told.get("queue") and not rig.away()
+
         rig.until(home, "everybody back")
         taken = [id for id in sent if rig.sent[id] == b"HTTP/1.1 202"]
         rig.until(lambda: all(rig.delivered(id) or rig.noticed(id) for id in taken), "an end for each")
--- a/ashvale/lab/disk.py
+++ b/ashvale/lab/disk.py
@@ -71,7 +71,7 @@
             raise OSError(errno.ENOSPC, "no space left")
         if fault == KILL:
             self._die()
-        part = data[:max(1, len(data) // 2)] if fault in (SHORT, TORN) else data
+        part = data[: max(1, len(data) // 2)] if fault in (SHORT, TORN) else data
         found += part
         self.digest.update(part)
         if fault == TORN:
--- a/ashvale/lab/fleet.py
+++ b/ashvale/lab/fleet.py
@@ -82,7 +82,7 @@
         self.stopped = False
         self.waiting: list[Callable[[], None]] = []  # what came while the process stood still
         self.planned = 0.0  # when the next tick is due, by the own clock
-        self.noted = 0      # up to where the judge knows what this process holds to be decided
+        self.noted = 0  # up to where the judge knows what this process holds to be decided
         self.torn = False  # the next save is lost with the process
 
     def clock(self) -> float:
@@ -92,8 +92,14 @@
         self.lives += 1
         self.planned, self.noted = 0.0, 0
         saved = copy.deepcopy(self.disk.saved)
-        self.agent = Agent(self.setup, saved, copy.deepcopy(self.disk.kept), f"{self.name}.{self.lives}",
-                           Random(f"{self.world.seed}/{self.name}/{self.lives}"), self.clock())
+        self.agent = Agent(
+            self.setup,
+            saved,
+            copy.deepcopy(self.disk.kept),
+            f"{self.name}.{self.lives}",
+            Random(f"{self.world.seed}/{self.name}/{self.lives}"),
+            self.clock(),
+        )
         self._do(lambda agent: agent.tick(self.clock()))
 
     def again(self) -> None:
@@ -157,8 +163,11 @@
     def _tick(self, life: int, agent: Agent) -> None:
         if self.agent is agent and self.lives == life:
             self.planned = 0.0
-            self.when_awake(lambda: self._do(
-                lambda a: a.tick(self.clock()) if a is agent and self.clock() >= a.due else Effects()))
+            self.when_awake(
+                lambda: self._do(
+                    lambda a: a.tick(self.clock()) if a is agent and self.clock() >= a.due else Effects()
+                )
+            )
 
 
 @dataclass(frozen=True)
@@ -173,8 +182,17 @@
 class World:
     """A run: hosts, links, faults and the judge's notes."""
 
-    def __init__(self, seed: int, voters: int, followers: int = 0, faults: int = 8, span: float = 20_000.0,
-                 timing: Timing = TIMING, kinds: tuple[str, ...] = FAULTS, orders: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        voters: int,
+        followers: int = 0,
+        faults: int = 8,
+        span: float = 20_000.0,
+        timing: Timing = TIMING,
+        kinds: tuple[str, ...] = FAULTS,
+        orders: bool = False,
+    ) -> None:
         self.seed, self.draw, self.now = seed, Random(f"{seed}/world"), 0.0
         self.span, self.counts = span, Counter[str]()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
@@ -182,8 +200,9 @@
         names = [f"c{n}" for n in range(voters + followers)]
         self.hosts: dict[str, Host] = {}
         for name in names:
-            setup = Setup("f", name, tuple(n for n in names if n != name), tuple(names[:voters]), timing,
-                          Rhythm())
+            setup = Setup(
+                "f", name, tuple(n for n in names if n != name), tuple(names[:voters]), timing, Rhythm()
+            )
             self.hosts[name] = Host(self, name, setup)
         self.cuts: set[tuple[str, str]] = set()
         self.loss = self.delay = 0.0
@@ -196,10 +215,10 @@
         self.commands: dict[str, Command] = {}
         self.users: dict[str, int] = {}
         self.numbers: dict[int, str] = {}
-        self.out: dict[str, int] = {}      # who is out of service, and by which permit
+        self.out: dict[str, int] = {}  # who is out of service, and by which permit
         self.latest, self.holders = 0, set[str]()  # who holds a permit, as of the latest state that was seen
         self.stepped = set[tuple[str, int]]()
-        self.never: list[str] = []         # couriers that stay away until all is healed
+        self.never: list[str] = []  # couriers that stay away until all is healed
         self.most = self.draw.choice((1, 2)) if orders else 1
         self.orders = orders
         if orders:
@@ -221,8 +240,10 @@
         self.counts["messages"] += 1
         if (sender, peer) in self.cuts or self.draw.random() < self.loss:
             return
-        self.later(self.draw.uniform(0.2, 3.0) + self.draw.uniform(0.0, self.delay),
-                   lambda: self._arrive(sender, peer, envelope))
+        self.later(
+            self.draw.uniform(0.2, 3.0) + self.draw.uniform(0.0, self.delay),
+            lambda: self._arrive(sender, peer, envelope),
+        )
 
     def _arrive(self, sender: str, peer: str, envelope: Envelope) -> None:
         if (sender, peer) not in self.cuts and peer in self.hosts:
@@ -275,15 +296,18 @@
                 self._order(at, by, Call(f"{by}-back-{number}", name, by))
         if rolls:
             order = self.draw.sample(names, len(names))
-            waves = tuple(tuple(order[at:at + self.most]) for at in range(0, len(order), self.most))
+            waves = tuple(tuple(order[at : at + self.most]) for at in range(0, len(order), self.most))
             plan = Plan("drawn", "step", waves, self.draw.random() < 0.5, "", 400.0, 6000.0)
             by = self.draw.choice(names)
             self._order(self.draw.uniform(2000.0, 8000.0), by, Begin("begin", plan, by, "drawn"))
             for number in range(self.draw.randint(0, 4)):
                 verb = self.draw.choice(("halt", "resume", "resume", "back", "skip"))
                 by = self.draw.choice(names)
-                self._order(self.draw.uniform(6000.0, self.span), by,
-                            Steer(f"{by}-steer-{number}", verb, by, "drawn", self.draw.choice(names)))
+                self._order(
+                    self.draw.uniform(6000.0, self.span),
+                    by,
+                    Steer(f"{by}-steer-{number}", verb, by, "drawn", self.draw.choice(names)),
+                )
         if len(names) > 2 and self.draw.random() < 0.4:
             away = self.draw.choice(names)
             self.later(2500.0, lambda: self._away(away))
@@ -302,6 +326,7 @@
                 self.later(300.0, host.again)
             elif host.agent is agent:
                 agent.step_ended = ""
+
         self.later(self.draw.uniform(50.0, 900.0), ends)
 
     def _away(self, name: str) -> None:
@@ -316,6 +341,7 @@
             if isinstance(command, Call) and command.courier == by and host.agent is not None:
                 host.when_awake(lambda: host._do(lambda agent: agent.come_back(host.clock())))
             host.request(command)
+
         self.later(at, order)
 
     def _fault(self, kind: str) -> None:
@@ -343,7 +369,7 @@
         elif kind == "cut":
             names = sorted(self.hosts)
             self.draw.shuffle(names)
-            side = set(names[:self.draw.randint(1, max(1, len(names) // 2))])
+            side = set(names[: self.draw.randint(1, max(1, len(names) // 2))])
             made = {(a, b) for a in names for b in names if (a in side) is not (b in side)}
             self.cuts |= made
             self.later(span, lambda: self.cuts.difference_update(made))
@@ -390,7 +416,7 @@
         """What one courier takes for decided is the same everywhere; nobody leads or holds beside another."""
         record, host = agent.record, self.hosts[name]
         start = record.snapshot.index
-        for entry in record.log[max(0, host.noted - start):record.commit - start]:
+        for entry in record.log[max(0, host.noted - start) : record.commit - start]:
             value = entry.term, entry.kind, entry.data
             if self.decided.setdefault(entry.index, value) != value:
                 self._break(f"two values for place {entry.index}, seen at {name}")
@@ -455,8 +481,10 @@
             if agent.stopped or agent.kept.lost and name in agent.setup.voters:
                 self._break(f"{name} does not take part: {agent.stopped or 'lost'}")
             elif agent.state.permits or agent.state.queue or agent.out or agent.state.rollout:
-                self._break(f"{name} still has {agent.state.permits} out, {agent.state.queue} waiting, "
-                            f"{agent.state.rollout} under way")
+                self._break(
+                    f"{name} still has {agent.state.permits} out, {agent.state.queue} waiting, "
+                    f"{agent.state.rollout} under way"
+                )
             elif agent.state.pack() != packed:
                 self._break(f"{name} holds another state, at {agent.state.applied} of {top.state.applied}")
         for id, result in self.known.items():
--- a/ashvale/lab/hunt.py
+++ b/ashvale/lab/hunt.py
@@ -18,10 +18,24 @@
 from ashvale.lab.stands import DROP, STALL, answer
 
 ACTIONS: tuple[bytes | str, ...] = (
-    DROP, STALL, answer(500), answer(503), answer(503, b"", retry_after="0.400"),
-    answer(503, b"", retry_after="3.000"), answer(404), b"HTTP/1.1 200 so\r\nContent-", b"nonsense\r\n\r\n")
-TROUBLES = (Rehearsal.kill, Rehearsal.leave, Rehearsal.drain, Rehearsal.deaf, Rehearsal.moved,
-            Rehearsal.silent)
+    DROP,
+    STALL,
+    answer(500),
+    answer(503),
+    answer(503, b"", retry_after="0.400"),
+    answer(503, b"", retry_after="3.000"),
+    answer(404),
+    b"HTTP/1.1 200 so\r\nContent-",
+    b"nonsense\r\n\r\n",
+)
+TROUBLES = (
+    Rehearsal.kill,
+    Rehearsal.leave,
+    Rehearsal.drain,
+    Rehearsal.deaf,
+    Rehearsal.moved,
+    Rehearsal.silent,
+)
 SHRINKS_MOST = 400
 
 
@@ -52,22 +66,41 @@
     pace, at, messages = times.choice((2.0, 20.0, 120.0)), 0.0, []
     for number in range(times.choice((3, 12, 40))):
         at += times.expovariate(1.0 / pace)
-        messages.append(Message(at, f"m{number}", times.choice(CLASSES), times.randint(1, blocks),
-                                times.choice((1500.0, 9000.0, 16000.0, 28000.0))))
+        messages.append(
+            Message(
+                at,
+                f"m{number}",
+                times.choice(CLASSES),
+                times.randint(1, blocks),
+                times.choice((1500.0, 9000.0, 16000.0, 28000.0)),
+            )
+        )
     draws = stream(seed, "troubles")
     troubles = []
     for _ in range(draws.choice((0, 1, 1, 2, 4))):
         what = draws.choice(TROUBLES)
         by_call = draws.random() < 0.5
         after = draws.choice((0.0, 0.3, 10.0, 300.0))
-        troubles.append(Trouble(what, after if by_call else draws.uniform(0, 4000.0),
-                                draws.randint(1, 12) if by_call else 0))
+        troubles.append(
+            Trouble(
+                what, after if by_call else draws.uniform(0, 4000.0), draws.randint(1, 12) if by_call else 0
+            )
+        )
     draws = stream(seed, "disk")
     faults = {draws.randint(1, 120): draws.choice(FAULTS) for _ in range(draws.choice((0, 0, 1, 3)))}
-    return Scenario(tuple(partners), tuple(messages), tuple(troubles), faults,
-                    {"limits": {"max_open": stream(seed, "limits").choice((4, 50)),
-                                "connect_timeout_ms": stream(seed, "connect").choice((1000.0, 1500.0))}},
-                    stream(seed, "room").choice((0.2, 3.0)))
+    return Scenario(
+        tuple(partners),
+        tuple(messages),
+        tuple(troubles),
+        faults,
+        {
+            "limits": {
+                "max_open": stream(seed, "limits").choice((4, 50)),
+                "connect_timeout_ms": stream(seed, "connect").choice((1000.0, 1500.0)),
+            }
+        },
+        stream(seed, "room").choice((0.2, 3.0)),
+    )
 
 
 @dataclass(frozen=True)
@@ -91,20 +124,20 @@
         size = max(1, len(parts) // 2)
         while size >= 1 and parts:
             for start in range(0, len(parts), size):
-                left = parts[:start] + parts[start + size:]
+                left = parts[:start] + parts[start + size :]
                 if left or name == "troubles":
                     yield replace(scenario, **{name: left})
             size //= 2
     for call in scenario.faults:
         yield replace(scenario, faults={c: fault for c, fault in scenario.faults.items() if c != call})
     for number, partner in enumerate(scenario.partners):
-        scripts = ((), partner.script[:len(partner.script) // 2], partner.script[:-1])
+        scripts = ((), partner.script[: len(partner.script) // 2], partner.script[:-1])
         plainer = [replace(partner, script=script) for script in scripts if len(script) < len(partner.script)]
         if partner.took() != 20.0:
             plainer.append(replace(partner, took=lambda: 20.0))
         for one in plainer:
             others = scenario.partners
-            yield replace(scenario, partners=(*others[:number], one, *others[number + 1:]))
+            yield replace(scenario, partners=(*others[:number], one, *others[number + 1 :]))
 
 
 def hunt(seed: int) -> Found | None:
--- a/ashvale/lab/judge.py
+++ b/ashvale/lab/judge.py
@@ -16,8 +16,8 @@
 
 ATTEMPTS = 8
 WINDOWS = {"usage-record": 6000.0}  # of a possible effect, by class; no other class has one
-DOWN_MS = 1000.0                    # for so long nobody is there to tell an end, after a kill
-SLACK_MS = 5.0                      # a way between two machines, and a tick: calls may be under way in a kill
+DOWN_MS = 1000.0  # for so long nobody is there to tell an end, after a kill
+SLACK_MS = 5.0  # a way between two machines, and a tick: calls may be under way in a kill
 
 
 @dataclass
@@ -28,8 +28,8 @@
     endpoint: str
     begin: float
     end: Optional[float] = None
-    how: str = ""       # status, `dropped`, or `let go` where the courier closed first
-    wait: float = 0.0   # told with it
+    how: str = ""  # status, `dropped`, or `let go` where the courier closed first
+    wait: float = 0.0  # told with it
 
 
 @dataclass
@@ -120,14 +120,17 @@
 
     def heard(self, at: float, endpoint: str) -> None:
         self._note("heard", at, endpoint)
-        self.silences = [(name, start, min(end, at) if name == endpoint else end)
-                         for name, start, end in self.silences]
+        self.silences = [
+            (name, start, min(end, at) if name == endpoint else end) for name, start, end in self.silences
+        ]
 
     def deaf(self, call: Call, end: float) -> bool:
         """Whether the endpoint was cut off between a call's begin and that time: neither what it answered
         nor that the courier let go need have been heard."""
-        return any(name == call.endpoint and start <= end and call.begin <= until
-                   for name, start, until in self.silences)
+        return any(
+            name == call.endpoint and start <= end and call.begin <= until
+            for name, start, until in self.silences
+        )
 
     def cut(self, start: float, end: float) -> bool:
         """Whether a courier was killed between two times."""
@@ -139,8 +142,9 @@
     calls: defaultdict[str, list[Call]] = defaultdict(list)
     for call in edges.calls:
         calls[call.id].append(call)
-    found = [broken for id, told in edges.told.items()
-             for broken in _message(edges, id, told, calls[id], over)]
+    found = [
+        broken for id, told in edges.told.items() for broken in _message(edges, id, told, calls[id], over)
+    ]
     found += _waits(edges)
     return sorted(found, key=lambda broken: (broken.at, broken.rule))
 
@@ -180,8 +184,11 @@
         yield broken("refused and sent all the same", calls[0].begin)
     for call in good:  # a kill between may have hidden the delivery from the courier
         for at, _ in told.notices:
-            if at > call.begin and not edges.cut(call.begin - SLACK_MS, at) and not edges.deaf(
-                    call, call.end or at):
+            if (
+                at > call.begin
+                and not edges.cut(call.begin - SLACK_MS, at)
+                and not edges.deaf(call, call.end or at)
+            ):
                 yield broken("delivered, and a notice as well", at)
     for one, other in zip(calls, calls[1:], strict=False):
         cut = edges.cut(one.begin - SLACK_MS, other.begin) or edges.deaf(one, other.begin)
@@ -209,5 +216,8 @@
         if not begins and not edges.deaf(call, at):
             until[partner] = max((told, end, by), (at, at + call.wait, call.endpoint), key=lambda x: x[1])
         elif begins and told + SLACK_MS < at < end - SLACK_MS and not edges.cut(told, at):
-            yield Broken(f"sent within a told wait: {partner}", at, (
-                f"{told:10.1f}  {by} tells to wait until {end:.0f}", f"{at:10.1f}  call of {call.id}"))
+            yield Broken(
+                f"sent within a told wait: {partner}",
+                at,
+                (f"{told:10.1f}  {by} tells to wait until {end:.0f}", f"{at:10.1f}  call of {call.id}"),
+            )
