--- a/ashvale/lab/mail.py
+++ b/ashvale/lab/mail.py
@@ -37,9 +37,14 @@
 class Partner:
     """A mail server that follows one script for each connection, and none once they are used up."""
 
-    def __init__(self, loop: Loop, lmtp: bool = False, scripts: Optional[list[Script]] = None,
-                 greeting: str = "220 partner",
-                 extensions: tuple[str, ...] = ("PIPELINING", "8BITMIME")) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        lmtp: bool = False,
+        scripts: Optional[list[Script]] = None,
+        greeting: str = "220 partner",
+        extensions: tuple[str, ...] = ("PIPELINING", "8BITMIME"),
+    ) -> None:
         self.loop, self.lmtp, self.scripts = loop, lmtp, list(scripts or [])
         self.greeting, self.extensions = greeting, extensions
         self.deliveries: list[Delivery] = []
@@ -87,8 +92,9 @@
             if not more:
                 return
 
-    def _message(self, connection: Connection, script: Script, sender: str,
-                 recipients: list[str]) -> Coroutine[bool]:
+    def _message(
+        self, connection: Connection, script: Script, sender: str, recipients: list[str]
+    ) -> Coroutine[bool]:
         lines: list[bytes] = []
         while (line := (yield from connection.line(65536, FOREVER))) != b".\r\n":
             if "body" in script:
@@ -143,12 +149,17 @@
             replies.append((yield from self.reply()))
         return replies
 
-    def send(self, sender: str, recipients: list[str], message: bytes, lmtp: bool = False,
-             drop: bool = False) -> Coroutine[list[str]]:
+    def send(
+        self, sender: str, recipients: list[str], message: bytes, lmtp: bool = False, drop: bool = False
+    ) -> Coroutine[list[str]]:
         """A whole transaction on a connection of its own; the replies to the final dot."""
         yield from self.open()
-        yield from self.say("LHLO client" if lmtp else "EHLO client", f"MAIL FROM:<{sender}>",
-                            *(f"RCPT TO:<{one}>" for one in recipients), "DATA")
+        yield from self.say(
+            "LHLO client" if lmtp else "EHLO client",
+            f"MAIL FROM:<{sender}>",
+            *(f"RCPT TO:<{one}>" for one in recipients),
+            "DATA",
+        )
         yield from self.write(message + b".\r\n")
         replies: list[str] = []
         for _ in recipients if lmtp and not drop else [None] * (not drop):
--- a/ashvale/lab/relay.py
+++ b/ashvale/lab/relay.py
@@ -82,7 +82,7 @@
                     size = self.trickle or len(data)
                     part, data = data[:size], data[size:]
                     if 0 <= self.cut_at <= len(part):
-                        yield from sink.send(part[:self.cut_at], FOREVER)
+                        yield from sink.send(part[: self.cut_at], FOREVER)
                         self.cut_at = -1
                         return
                     if self.mode == PASS and not (self.half_open and back):
--- a/ashvale/lab/rig.py
+++ b/ashvale/lab/rig.py
@@ -31,8 +31,9 @@
 
 
 def _call(method: str, what: str, body: bytes) -> bytes:
-    return (f"{method} /fleet/1/{NAME}/{what} HTTP/1.1\r\nHost: x\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"{method} /fleet/1/{NAME}/{what} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 def free_ports(count: int) -> list[int]:
@@ -63,8 +64,9 @@
         self.second = Endpoint(self.loop, name="second", edges=self.edges)  # listed where a test wants it
         self.names = [f"c{n}" for n in range(count)]
         self.ports = dict(zip(self.names, free_ports(count), strict=True))
-        self.links = {(a, b): Relay(self.loop, (HERE, self.ports[b]))
-                      for a in self.names for b in self.names if a != b}
+        self.links = {
+            (a, b): Relay(self.loop, (HERE, self.ports[b])) for a in self.names for b in self.names if a != b
+        }
         # Each has an agent of discovery on its own machine, and its own link to that and to each endpoint.
         self.agents = {name: Discovery(self.loop) for name in self.names}
         self.to_agent = {name: Relay(self.loop, self.agents[name].listener.address) for name in self.names}
@@ -99,20 +101,31 @@
             f'[[fleet.peer]]\nname = "{other}"\nvotes = {str(other in self.voters).lower()}\n'
             f'building = "{"ab"[int(other[1:]) % 2]}"\naddress = '
             f'"{HERE}:{self.ports[name] if other == name else self.links[name, other].address[1]}"\n'
-            for other in self.names)
+            for other in self.names
+        )
         (folder / "own.toml").write_text(
             f'[fleet]\nname = "{NAME}"\ncourier = "{name}"\nversion = "{self.versions.get(name, "1")}"\n'
-            f'{TIMES}{peers}{self.steps}')
-        (folder / "config.json").write_text(json.dumps({
-            "settings": settings({}), "known": self.agents[name].whole()}))
+            f"{TIMES}{peers}{self.steps}"
+        )
+        (folder / "config.json").write_text(
+            json.dumps({"settings": settings({}), "known": self.agents[name].whole()})
+        )
         if name in self.processes:
             self.left.append(self.processes[name])
         log = folder / f"log.{len(self.left)}"
         with log.open("wb") as file:
-            self.processes[name] = subprocess.Popen([sys.executable, "-m", "ashvale"], stderr=file, env={
-                **os.environ, "LB_CONFIG": str(folder / "config.json"), "LB_STATE": str(folder),
-                "LB_LISTEN": f"{HERE}:0", "LB_DISCOVERY": f"{HERE}:{self.to_agent[name].address[1]}",
-                "ASHVALE_SETTINGS": str(folder / "own.toml")})
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "ashvale"],
+                stderr=file,
+                env={
+                    **os.environ,
+                    "LB_CONFIG": str(folder / "config.json"),
+                    "LB_STATE": str(folder),
+                    "LB_LISTEN": f"{HERE}:0",
+                    "LB_DISCOVERY": f"{HERE}:{self.to_agent[name].address[1]}",
+                    "ASHVALE_SETTINGS": str(folder / "own.toml"),
+                },
+            )
         self.until(lambda: "event=serving" in log.read_text() or self.processes[name].poll() is not None)
         found = re.search(r"listen_platform=\S+:(\d+)", log.read_text())
         assert found is not None, log.read_text()
@@ -215,11 +228,16 @@
 
         def steps(name: str) -> Coroutine[None]:
             found[name] = yield from self._exchange(self.ports[name], _call("POST", what, body))
+
         for name in names:
             self.loop.spawn(steps(name), f"order at {name}")
         self.until(lambda: len(found) == len(names), f"{what} at {len(names)}")
-        return [(int(found[name].split(b" ", 2)[1]), json.loads(found[name].partition(b"\r\n\r\n")[2]))
-                if found[name] else (0, None) for name in names]
+        return [
+            (int(found[name].split(b" ", 2)[1]), json.loads(found[name].partition(b"\r\n\r\n")[2]))
+            if found[name]
+            else (0, None)
+            for name in names
+        ]
 
     def up(self, name: str) -> bool:
         """What a courier's front tells whoever deals clients out; a dead one says nothing."""
@@ -228,8 +246,7 @@
 
     def away(self) -> list[str]:
         """Couriers that send clients away, seen from the edge."""
-        return [name for name in self.names
-                if self.processes[name].poll() is None and not self.up(name)]
+        return [name for name in self.names if self.processes[name].poll() is None and not self.up(name)]
 
     # Messages and links
 
--- a/ashvale/lab/run.py
+++ b/ashvale/lab/run.py
@@ -24,9 +24,9 @@
 from ashvale.lab.virtual import Process, VirtualLoop
 from ashvale.loop import Address
 
-DOWN_MS = 300.0       # a courier that was killed begins again after so long
+DOWN_MS = 300.0  # a courier that was killed begins again after so long
 GIVE_UP_MS = 90_000.0  # a run that has not come to its end by then, after the last message, is ended
-SILENT_MS = 900.0      # machines that are cut off are back after so long, before the system asks again
+SILENT_MS = 900.0  # machines that are cut off are back after so long, before the system asks again
 LISTEN: Address = ("127.0.0.1", 7000)
 AGENT: Address = ("127.0.0.1", 7001)
 
@@ -82,8 +82,8 @@
 
     broken: list[Broken]
     counts: dict[str, int]
-    digest: str        # of all that passed at the edges
-    written: str       # of all that was written to the disk
+    digest: str  # of all that passed at the edges
+    written: str  # of all that was written to the disk
     writes: int
     virtual_ms: float
     real_ms: float
@@ -102,7 +102,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         for partner in scenario.partners:
             made = self.endpoints[partner.name] = Endpoint(
-                self.loop, *partner.script, name=partner.name, edges=self.edges, took=partner.took)
+                self.loop, *partner.script, name=partner.name, edges=self.edges, took=partner.took
+            )
             self.edges.partners[partner.name] = f"partner {partner.block}"
             self.discovery.list(partner.name, made, partner.block, partner.kind)
         self.process: Optional[Process] = None
@@ -118,14 +119,31 @@
             return
         self.process = Process(self.loop)
         file = self.folder / "config.json"
-        file.write_text(json.dumps({
-            "name": "n0", "seed": "1f", "settings": settings(self.scenario.settings),
-            "limits": {"disk_mb": self.scenario.disk_mb},
-            "known": self.discovery.whole()}))
+        file.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "seed": "1f",
+                    "settings": settings(self.scenario.settings),
+                    "limits": {"disk_mb": self.scenario.disk_mb},
+                    "known": self.discovery.whole(),
+                }
+            )
+        )
         try:
-            self.courier = Courier(config.load({
-                "LB_CONFIG": str(file), "LB_STATE": str(self.folder), "LB_LISTEN": _text(LISTEN),
-                "LB_DISCOVERY": _text(AGENT), **self.scenario.environ}), self.process, self.disk)
+            self.courier = Courier(
+                config.load(
+                    {
+                        "LB_CONFIG": str(file),
+                        "LB_STATE": str(self.folder),
+                        "LB_LISTEN": _text(LISTEN),
+                        "LB_DISCOVERY": _text(AGENT),
+                        **self.scenario.environ,
+                    }
+                ),
+                self.process,
+                self.disk,
+            )
         except Killed:
             pass
         except (Full, OSError):  # it cannot start; whoever keeps it running tries again
@@ -234,12 +252,20 @@
             self.courier.halt()
         counts = Counter("delivered" if call.how == "200" else call.how or "cut" for call in self.edges.calls)
         counts.update(f"notice {state}" for told in self.edges.told.values() for _, state in told.notices)
-        counts.update(f"answer {status or 'none'}" for told in self.edges.told.values()
-                      for _, status in told.answers)
+        counts.update(
+            f"answer {status or 'none'}" for told in self.edges.told.values() for _, status in told.answers
+        )
         over = self.loop.now()
-        return Result(judge(self.edges, over), dict(sorted(counts.items())), self.edges.digest,
-                      self.disk.digest.hexdigest(), self.disk.calls, over,
-                      (time.perf_counter() - began) * 1000.0, self.edges)
+        return Result(
+            judge(self.edges, over),
+            dict(sorted(counts.items())),
+            self.edges.digest,
+            self.disk.digest.hexdigest(),
+            self.disk.calls,
+            over,
+            (time.perf_counter() - began) * 1000.0,
+            self.edges,
+        )
 
     def _settled(self) -> bool:
         known = all(told.answers for told in self.edges.told.values())
@@ -250,8 +276,7 @@
 
     def _hand_in(self, m: Message) -> None:
         def begin() -> None:
-            self.loop.spawn(hand_in(
-                self.loop, LISTEN, self.edges, m.cls, m.id, m.dest, m.timeout_ms), m.id)
+            self.loop.spawn(hand_in(self.loop, LISTEN, self.edges, m.cls, m.id, m.dest, m.timeout_ms), m.id)
 
         self.loop.call_at(m.at, begin)
 
--- a/ashvale/lab/stands.py
+++ b/ashvale/lab/stands.py
@@ -32,14 +32,33 @@
 
 SETTINGS: dict[str, Any] = {
     "categories": [
-        {"name": "usage-record", "repeat": "token", "key_scope": "all", "objective_ms": 2000,
-         "give_up_ms": 16000, "dedup_window_ms": 6000, "late_worth": 0.3},
-        {"name": "rate-update", "repeat": "pure", "objective_ms": 2000, "give_up_ms": 28000}],
-    "models": ["hub", "direct"], "tenants": [{"name": "home"}], "zones": ["building-a"], "peers_total": 1,
+        {
+            "name": "usage-record",
+            "repeat": "token",
+            "key_scope": "all",
+            "objective_ms": 2000,
+            "give_up_ms": 16000,
+            "dedup_window_ms": 6000,
+            "late_worth": 0.3,
+        },
+        {"name": "rate-update", "repeat": "pure", "objective_ms": 2000, "give_up_ms": 28000},
+    ],
+    "models": ["hub", "direct"],
+    "tenants": [{"name": "home"}],
+    "zones": ["building-a"],
+    "peers_total": 1,
     "family_info": {"max_calls": 8, "per_call": [10, 1], "routes_apart": [False, False]},
-    "limits": {"most_tries": 8, "max_open": 50, "max_retry_after_ms": 3000.0, "retry_after": True,
-               "connect_timeout_ms": 1000.0, "keepalive_ms": 15000.0},
-    "contract": {"drain_grace_ms": 2000.0}, "tick_ms": 5.0, "weight_kind": "off",
+    "limits": {
+        "most_tries": 8,
+        "max_open": 50,
+        "max_retry_after_ms": 3000.0,
+        "retry_after": True,
+        "connect_timeout_ms": 1000.0,
+        "keepalive_ms": 15000.0,
+    },
+    "contract": {"drain_grace_ms": 2000.0},
+    "tick_ms": 5.0,
+    "weight_kind": "off",
 }
 
 
@@ -68,8 +87,10 @@
 
 def settings(changes: dict[str, Any]) -> dict[str, Any]:
     """`SETTINGS` with changes; those of a table leave the rest of it as it is."""
-    return SETTINGS | {key: {**SETTINGS[key], **value} if isinstance(SETTINGS.get(key), dict) else value
-                       for key, value in changes.items()}
+    return SETTINGS | {
+        key: {**SETTINGS[key], **value} if isinstance(SETTINGS.get(key), dict) else value
+        for key, value in changes.items()
+    }
 
 
 def answer(status: int, body: bytes = b"", **headers: Any) -> bytes:
@@ -80,8 +101,14 @@
 class Endpoint:
     """Answers each call by the next script line, and with 200 once they are used up."""
 
-    def __init__(self, loop: Loop, *script: bytes | str, name: str = "", edges: Optional[Edges] = None,
-                 took: Callable[[], float] = lambda: 20.0) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        *script: bytes | str,
+        name: str = "",
+        edges: Optional[Edges] = None,
+        took: Callable[[], float] = lambda: 20.0,
+    ) -> None:
         self.loop, self.script, self.name, self.edges, self.took = loop, list(script), name, edges, took
         self.calls: list[Call] = []
         self.connections = self.out = self.most_out = 0
@@ -157,16 +184,17 @@
         line, _, rest = body.partition(b"\r\n")
         name, _key, size = line.decode().split(" ")
         ids.append(name)
-        assert rest[int(size):int(size) + 2] == b"\r\n"
-        body = rest[int(size) + 2:]
+        assert rest[int(size) : int(size) + 2] == b"\r\n"
+        body = rest[int(size) + 2 :]
     return ids
 
 
 class Discovery:
     """The agent: the list, a watch on it, and notices; silent while `down`."""
 
-    def __init__(self, loop: Loop, edges: Optional[Edges] = None,
-                 address: tuple[str, int] = (HERE, 0)) -> None:
+    def __init__(
+        self, loop: Loop, edges: Optional[Edges] = None, address: tuple[str, int] = (HERE, 0)
+    ) -> None:
         self.loop, self.edges = loop, edges
         self.seq, self.changed = 1, Signal()
         self.hosts = {"s-0": {"host": "s-0", "dial": f"{HERE}:9", "block": 1, "health": "DRAINING"}}
@@ -176,10 +204,19 @@
         self.asked: list[str] = []
         self.listener = Listener(loop, address, self._serve, 100, "discovery")
 
-    def list(self, name: str, endpoint: Endpoint, block: int = 1, kind: str = "direct",
-             health: str = "SERVING") -> None:
-        self.hosts[name] = {"host": name, "dial": endpoint.dial, "site": "building-a", "class": kind,
-                            "block": block, "health": health, "share": 1.0, "born_ms": 0}
+    def list(
+        self, name: str, endpoint: Endpoint, block: int = 1, kind: str = "direct", health: str = "SERVING"
+    ) -> None:
+        self.hosts[name] = {
+            "host": name,
+            "dial": endpoint.dial,
+            "site": "building-a",
+            "class": kind,
+            "block": block,
+            "health": health,
+            "share": 1.0,
+            "born_ms": 0,
+        }
         self.seq += 1
         self.changed.fire()
 
@@ -206,21 +243,38 @@
             while self.down or f"since={self.seq}&" in call.path:
                 if not ((yield self.changed, FOREVER if self.down else until) or self.down):
                     break
-            yield from connection.send(answer(200, json.dumps(
-                self.whole(), indent=self.indent).encode()), FOREVER)
-
-
-def request(cls: str, id: str, dest: int = 1, body: bytes = b"hello", timeout: str = "9000m",
-            **headers: str) -> bytes:
-    named = {"Host": "origin.svc", "Request-Id": id, "Tenant": "home", "Request-Timeout": timeout,
-             "X-Consignee": f"dest={dest}", "Idempotency-Key": f"k{id}", "Content-Length": str(len(body)),
-             **{name.replace("_", "-"): value for name, value in headers.items()}}
+            yield from connection.send(
+                answer(200, json.dumps(self.whole(), indent=self.indent).encode()), FOREVER
+            )
+
+
+def request(
+    cls: str, id: str, dest: int = 1, body: bytes = b"hello", timeout: str = "9000m", **headers: str
+) -> bytes:
+    named = {
+        "Host": "origin.svc",
+        "Request-Id": id,
+        "Tenant": "home",
+        "Request-Timeout": timeout,
+        "X-Consignee": f"dest={dest}",
+        "Idempotency-Key": f"k{id}",
+        "Content-Length": str(len(body)),
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
     lines = "".join(f"{name}: {value}\r\n" for name, value in named.items() if value is not None)
     return f"POST /{cls} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
-def hand_in(loop: Loop, address: tuple[str, int], edges: Edges, cls: str, id: str, dest: int,
-            timeout_ms: float, patience: int = 20) -> Coroutine[None]:
+def hand_in(
+    loop: Loop,
+    address: tuple[str, int],
+    edges: Edges,
+    cls: str,
+    id: str,
+    dest: int,
+    timeout_ms: float,
+    patience: int = 20,
+) -> Coroutine[None]:
     """A service client with one message: it asks until it is answered 202, or refused, or its time is up."""
     until = loop.now() + timeout_ms
     edges.asked(loop.now(), id, cls, until)
--- a/ashvale/lab/virtual.py
+++ b/ashvale/lab/virtual.py
@@ -21,9 +21,9 @@
 
 from ashvale.loop import Address, Coroutine, Loop, Task, Timer
 
-WINDOW = 65536          # bytes that are under way or unread on one stream
-EPOCH_MS = 1.7e12       # the wall clock at the start of every run
-LAST_PORT = 40000       # ports that are given out begin above
+WINDOW = 65536  # bytes that are under way or unread on one stream
+EPOCH_MS = 1.7e12  # the wall clock at the start of every run
+LAST_PORT = 40000  # ports that are given out begin above
 AGAIN_MS = (1000.0, 2000.0, 4000.0)  # a system asks a silent machine for a connection again after so long
 IN, OUT, ERR, HUP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLERR, select.EPOLLHUP
 DelayOf = Callable[[Address, Address], float]
@@ -44,10 +44,10 @@
         self.connecting = self.closed = self.ended = self.reset = False
         self.error = 0
         self.inbound = bytearray()
-        self.sent = 0            # bytes under way to the peer or unread by it
+        self.sent = 0  # bytes under way to the peer or unread by it
         self.owner: Optional[Process] = None
         self.cut_after: Optional[int] = None  # bytes that may still come in before the stream is reset
-        self.cut_sent: Optional[int] = None   # bytes that may still be sent before it is
+        self.cut_sent: Optional[int] = None  # bytes that may still be sent before it is
         self.lost = False  # something that was sent has not arrived
 
     # What ashvale.loop uses of a socket
@@ -145,7 +145,7 @@
                 self._net.pass_on(self, lambda: peer.end(True))
             return
         if self.cut_after is not None:
-            part, self.cut_after = part[:self.cut_after], max(0, self.cut_after - len(part))
+            part, self.cut_after = part[: self.cut_after], max(0, self.cut_after - len(part))
         self.inbound += part
         if self.cut_after == 0:
             self.cut()
@@ -181,12 +181,12 @@
     def __init__(self, loop: VirtualLoop, delay: DelayOf) -> None:
         self._loop, self.delay = loop, delay
         self.listening: dict[Address, VirtualSocket] = {}
-        self.silent: set[Address] = set()   # machines that answer nothing, not even a refusal
+        self.silent: set[Address] = set()  # machines that answer nothing, not even a refusal
         self.on_open: Callable[[VirtualSocket], None] = lambda sock: None  # told of each stream that comes up
         self.open: dict[int, VirtualSocket] = {}
         self._ports = itertools.count(LAST_PORT + 1)
         self._numbers = itertools.count(3)
-        self._last: dict[int, float] = {}   # when the latest of a stream's parts arrives
+        self._last: dict[int, float] = {}  # when the latest of a stream's parts arrives
 
     def socket(self) -> VirtualSocket:
         made = VirtualSocket(self, next(self._numbers))
--- a/ashvale/log.py
+++ b/ashvale/log.py
@@ -17,9 +17,12 @@
 
     def format(self, record: logging.LogRecord) -> str:
         pairs: dict[str, Any] = {
-            "at": f"{record.created:.3f}", "level": record.levelname.lower(), "part": record.name,
+            "at": f"{record.created:.3f}",
+            "level": record.levelname.lower(),
+            "part": record.name,
             "event": record.getMessage(),
-            **{key: value for key, value in record.__dict__.items() if key not in _PLAIN}}
+            **{key: value for key, value in record.__dict__.items() if key not in _PLAIN},
+        }
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
         return " ".join(f"{key}={self._value(value)}" for key, value in pairs.items())
@@ -35,8 +38,18 @@
 def _json_lines() -> logging.Formatter:
     """The same as one JSON object a line; numbers stay numbers."""
     from pythonjsonlogger.json import JsonFormatter
-    return JsonFormatter(["created", "levelname", "name", "message"], json_default=str, rename_fields={
-        "created": "at", "levelname": "level", "name": "part", "message": "event", "exc_info": "trace"})
+
+    return JsonFormatter(
+        ["created", "levelname", "name", "message"],
+        json_default=str,
+        rename_fields={
+            "created": "at",
+            "levelname": "level",
+            "name": "part",
+            "message": "event",
+            "exc_info": "trace",
+        },
+    )
 
 
 def set_up_log(level: str, form: str = "logfmt") -> None:
--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -30,10 +30,10 @@
 DEAD_MOST = 256  # cancelled timers that are kept at least
 _ACCEPTS = 64  # connections taken in one go, so that a flood of them cannot starve the rest
 FRESH_MS, SPARE_MS = 200.0, 2050.0  # a connection that rests so long, unused and used, may go for another
-CROWDED = 0.75                      # share of the connections allowed from which resting ones go
-AGAIN_MS = 50.0                     # pause before a task that failed begins again
-FULL_MS = 25.0                      # pause before another look for room where none rests long enough
-LINGER_MS = 300.0                   # the other side of a connection that is finished has so long to end it
+CROWDED = 0.75  # share of the connections allowed from which resting ones go
+AGAIN_MS = 50.0  # pause before a task that failed begins again
+FULL_MS = 25.0  # pause before another look for room where none rests long enough
+LINGER_MS = 300.0  # the other side of a connection that is finished has so long to end it
 log = logging.getLogger(__name__)
 
 
@@ -256,7 +256,7 @@
         if self._size == len(self._data) < self.limit:
             whole = self.peek()
             self._data = bytearray(min(2 * len(self._data), self.limit))
-            self._data[:len(whole)] = whole
+            self._data[: len(whole)] = whole
             self._head = 0
         start = (self._head + self._size) % len(self._data)
         return start, min(len(self._data), start + len(self._data) - self._size)
@@ -281,8 +281,8 @@
         done = 0
         while done < len(data) and self.free:
             start, end = self._room()
-            part = data[done:done + end - start]
-            self._data[start:start + len(part)] = part
+            part = data[done : done + end - start]
+            self._data[start : start + len(part)] = part
             self._size += len(part)
             done += len(part)
         return done
@@ -524,8 +524,15 @@
     the connection that has rested longest goes when room gets scarce.
     """
 
-    def __init__(self, loop: Loop, address: Address, serve: Callable[[Connection], Coroutine[None]],
-                 most: int, name: str, reuse_port: bool = False) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        serve: Callable[[Connection], Coroutine[None]],
+        most: int,
+        name: str,
+        reuse_port: bool = False,
+    ) -> None:
         self.loop, self.serve, self.most, self.name = loop, serve, most, name
         self.open: dict[Connection, None] = {}
         self.resting: dict[Connection, tuple[float, bool]] = {}  # since when, and whether it was ever used
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -32,16 +32,30 @@
     from email.message import Message
 
 LINE_MOST, TEXT_MOST = 2048, 64 * 1024  # longest command and longest line of a message that are read
-REPLY_MS = 10000.0    # a client has this long to take a reply
+REPLY_MS = 10000.0  # a client has this long to take a reply
 REST_MS = (5000.0, 10000.0)  # rest before HELO, and later, for which a client is sent away in a full house
-ERRORS_MOST = 20      # a client that errs more often is sent away
-HOPS_MOST = 100       # a message that has come further goes in circles
+ERRORS_MOST = 20  # a client that errs more often is sent away
+HOPS_MOST = 100  # a message that has come further goes in circles
 _PATH = re.compile(r"<(?:@[^:<>]*:)?((?:\"(?:[^\"\\]|\\.)*\"|[^<>\"\s])*)>((?:\s.*)?)\Z")
 _REPLY = re.compile(rb"([2-5][0-9]{2})(?:([ -])(.*?))?\r?\n\Z", re.S)
-_UNITS = {"ms": 1.0, "millisecond": 1.0, "s": 1e3, "sec": 1e3, "second": 1e3, "m": 6e4, "min": 6e4,
-          "minute": 6e4, "h": 3.6e6, "hr": 3.6e6, "hour": 3.6e6}
-_WAIT = re.compile(r"\b(?:after|in|wait|for|least)\b[\s:=]*(?:at least\s+)?(\d+(?:\.\d+)?)\s*"
-                   r"(" + "|".join(sorted(_UNITS, key=len, reverse=True)) + r")s?\b", re.I)
+_UNITS = {
+    "ms": 1.0,
+    "millisecond": 1.0,
+    "s": 1e3,
+    "sec": 1e3,
+    "second": 1e3,
+    "m": 6e4,
+    "min": 6e4,
+    "minute": 6e4,
+    "h": 3.6e6,
+    "hr": 3.6e6,
+    "hour": 3.6e6,
+}
+_WAIT = re.compile(
+    r"\b(?:after|in|wait|for|least)\b[\s:=]*(?:at least\s+)?(\d+(?:\.\d+)?)\s*"
+    r"(" + "|".join(sorted(_UNITS, key=len, reverse=True)) + r")s?\b",
+    re.I,
+)
 log = logging.getLogger(__name__)
 
 
@@ -58,7 +72,7 @@
     """`FROM:<a@b> SIZE=9` gives the address and its parameters; None for what is malformed."""
     if not argument.upper().startswith(word + ":"):
         return None
-    found = _PATH.match(argument[len(word) + 1:].strip())
+    found = _PATH.match(argument[len(word) + 1 :].strip())
     if found is None or not argument.isascii() or len(found[1]) > 256:
         return None
     words = (part.partition("=") for part in found[2].split())
@@ -68,8 +82,11 @@
 def reply_line(line: bytes) -> Optional[tuple[int, bool, str]]:
     """One line of a reply: code, whether it is the last, text; None for what is no reply."""
     found = _REPLY.match(line)
-    return None if found is None else (
-        int(found[1]), found[2] != b"-", (found[3] or b"").decode("utf-8", "replace"))
+    return (
+        None
+        if found is None
+        else (int(found[1]), found[2] != b"-", (found[3] or b"").decode("utf-8", "replace"))
+    )
 
 
 def stuffed(body: bytes) -> bytes:
@@ -161,8 +178,9 @@
         self.setup, self._places = setup, made
 
     def _listener(self, where: config.Listen) -> Listener:
-        listener = Listener(self.loop, where.address, lambda c: Session(self, c, listener).run(), where.most,
-                            where.protocol)
+        listener = Listener(
+            self.loop, where.address, lambda c: Session(self, c, listener).run(), where.most, where.protocol
+        )
         listener.dismiss, listener.spare_ms = self._dismiss, REST_MS
         return listener
 
@@ -195,11 +213,22 @@
         rule = envelope.recipients[0][1]
         cls = self.exchange.message_class(rule.cls)
         recipients = [address for address, _ in envelope.recipients]
-        return self.exchange.take(Command(
-            identity(envelope.sender, recipients, body), "mail", rule.cls, rule.dest, envelope.tenant, "",
-            self.loop.now() + (cls.deadline_ms if cls else 0.0), body,
-            envelope=json.dumps({"from": envelope.sender, "to": recipients}), began=envelope.began,
-            traceparent=self._told(body, "Traceparent"), tracestate=self._told(body, "Tracestate")))
+        return self.exchange.take(
+            Command(
+                identity(envelope.sender, recipients, body),
+                "mail",
+                rule.cls,
+                rule.dest,
+                envelope.tenant,
+                "",
+                self.loop.now() + (cls.deadline_ms if cls else 0.0),
+                body,
+                envelope=json.dumps({"from": envelope.sender, "to": recipients}),
+                began=envelope.began,
+                traceparent=self._told(body, "Traceparent"),
+                tracestate=self._told(body, "Tracestate"),
+            )
+        )
 
     def _told(self, body: bytes, name: str) -> str:
         """What the message's header says of its trace, where tracing is on."""
@@ -251,8 +280,16 @@
         self.envelope: Optional[Envelope] = None
         hello = {"LHLO": self._hello} if self.lmtp else {"HELO": self._hello, "EHLO": self._hello}
         self.verbs: dict[str, Callable[[str, str], Coroutine[bool]]] = {
-            **hello, "MAIL": self._mail, "RCPT": self._rcpt, "DATA": self._data, "RSET": self._rset,
-            "NOOP": self._noop, "VRFY": self._vrfy, "HELP": self._help, "QUIT": self._quit}
+            **hello,
+            "MAIL": self._mail,
+            "RCPT": self._rcpt,
+            "DATA": self._data,
+            "RSET": self._rset,
+            "NOOP": self._noop,
+            "VRFY": self._vrfy,
+            "HELP": self._help,
+            "QUIT": self._quit,
+        }
 
     def run(self) -> Coroutine[None]:
         name = "LMTP" if self.lmtp else "ESMTP"
@@ -363,8 +400,9 @@
         while not reader.feed((yield from self.connection.line(TEXT_MOST, self._until()))):
             pass
         fault = reader.fault
-        if fault is None and re.match(rb"(?:Received:[^\r]*\r\n(?:[ \t][^\r]*\r\n)*){%d}" % HOPS_MOST,
-                                      reader.body, re.I):
+        if fault is None and re.match(
+            rb"(?:Received:[^\r]*\r\n(?:[ \t][^\r]*\r\n)*){%d}" % HOPS_MOST, reader.body, re.I
+        ):
             fault = 554, "5.4.6 too many hops"
         if fault is not None:
             self.errors += 1
@@ -372,8 +410,9 @@
                 yield from self._say(*fault)
             return True
         body = self._trace() + bytes(reader.body)
-        parts = [Envelope(envelope.sender, envelope.tenant, [one], envelope.began)
-                 for one in envelope.recipients]
+        parts = [
+            Envelope(envelope.sender, envelope.tenant, [one], envelope.began) for one in envelope.recipients
+        ]
         taken = [self.front.take(part, body) for part in (parts if self.lmtp else [envelope])]
         for one in taken:
             yield from self._say(*(yield from self.front.end_of(one)))
@@ -474,8 +513,15 @@
         words = (text.split(None, 1) for text in texts[1:])
         self.extensions = {w[0].upper(): w[1] if len(w) > 1 else "" for w in words if w}
 
-    def deliver(self, sender: str, recipients: list[str], body: bytes, until: float,
-                check: Callable[[], None], begin: Callable[[], None]) -> Coroutine[list[tuple[int, str]]]:
+    def deliver(
+        self,
+        sender: str,
+        recipients: list[str],
+        body: bytes,
+        until: float,
+        check: Callable[[], None],
+        begin: Callable[[], None],
+    ) -> Coroutine[list[tuple[int, str]]]:
         """One transaction; the replies to its final dot: one, or with LMTP one for each recipient.
 
         `check` raises where the transaction is not to go on, and is asked before each thing that is said;
@@ -555,9 +601,22 @@
         self._announce(self.setup.instances)
 
     def _announce(self, instances: Iterable[config.MailInstance], gone: bool = False) -> None:
-        self.exchange.instances_known(api.ListKind.DELTA, [
-            Instance(instance_name(i), i.dest, i.address, config.MAIL_KIND, i.zone, gone=gone, rate=i.rate,
-                     carrier="mail") for i in instances])
+        self.exchange.instances_known(
+            api.ListKind.DELTA,
+            [
+                Instance(
+                    instance_name(i),
+                    i.dest,
+                    i.address,
+                    config.MAIL_KIND,
+                    i.zone,
+                    gone=gone,
+                    rate=i.rate,
+                    carrier="mail",
+                )
+                for i in instances
+            ],
+        )
 
     def _drop(self, client: MailClient) -> None:
         if not client.connection.stale:
@@ -565,8 +624,9 @@
             client.connection.flush()
         client.connection.close()
 
-    def _converse(self, client: Optional[MailClient],
-                  execution: Execution) -> Coroutine[Optional[MailClient]]:
+    def _converse(
+        self, client: Optional[MailClient], execution: Execution
+    ) -> Coroutine[Optional[MailClient]]:
         entry, until = execution.parts[0], execution.until
         envelope = json.loads(entry.envelope)
         outcome, wait, over = Outcome.CONNECT_FAILED, 0.0, ""
@@ -581,8 +641,13 @@
             if self.setup.trace_headers:
                 body = with_headers(body, self.exchange.trace_headers(execution))
             answers = yield from client.deliver(
-                envelope["from"], envelope["to"], body, until, lambda: self._check(execution),
-                lambda: self._begin(execution))
+                envelope["from"],
+                envelope["to"],
+                body,
+                until,
+                lambda: self._check(execution),
+                lambda: self._begin(execution),
+            )
             outcome, wait, over = verdict(answers)
         except Declined as error:
             outcome, wait, over = judge(error.code, error.text, error.early)
@@ -599,8 +664,11 @@
                 if client is not None:
                     client.connection.close()  # what has not left yet never does
         self.exchange.report(execution, entry, outcome, wait, over)
-        if client is not None and outcome in (Outcome.FULL, Outcome.MOOT) and not (
-                client.reusable_now or client.connection.closed):
+        if (
+            client is not None
+            and outcome in (Outcome.FULL, Outcome.MOOT)
+            and not (client.reusable_now or client.connection.closed)
+        ):
             try:
                 yield from client.reset(self.loop.now() + self.exchange.settings.connect_timeout_ms)
             except (Broken, Expired, Declined):
--- a/ashvale/net/operator.py
+++ b/ashvale/net/operator.py
@@ -19,14 +19,20 @@
 
 from ashvale.loop import Address, Broken, Connection, Coroutine, Expired, Listener, Loop
 
-CALL_MS = 1000.0    # a caller has this long for its call; guards the table against callers that say nothing
-CALLERS_MOST = 64   # connections at once; guards descriptors against a crowd of them
+CALL_MS = 1000.0  # a caller has this long for its call; guards the table against callers that say nothing
+CALLERS_MOST = 64  # connections at once; guards descriptors against a crowd of them
 CALL_MOST = 8 * 1024  # bytes of one call, head and body
-BANS_MS = 100.0     # how often the file of bans is looked at, for what another process of an upgrade wrote
-BANS_MOST = 4096    # endpoints banned at once
+BANS_MS = 100.0  # how often the file of bans is looked at, for what another process of an upgrade wrote
+BANS_MOST = 4096  # endpoints banned at once
 _ENDPOINT = re.compile(r"/endpoints/([A-Za-z0-9._:@-]{1,200})/(maint|ready)\Z")
-_REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Too Large",
-            503: "Service Unavailable"}
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    413: "Too Large",
+    503: "Service Unavailable",
+}
 log = logging.getLogger(__name__)
 
 
@@ -81,8 +87,15 @@
 class Door:
     """Answers operators' calls; what they mean is for `hooks` to carry out."""
 
-    def __init__(self, loop: Loop, address: Address, bans: Bans, listed: Callable[[str], bool],
-                 ready: Callable[[], bool], drain: Callable[[bool], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        bans: Bans,
+        listed: Callable[[str], bool],
+        ready: Callable[[], bool],
+        drain: Callable[[bool], None],
+    ) -> None:
         self.loop, self.bans, self.listed, self.ready, self.drain = loop, bans, listed, ready, drain
         # Where couriers agree on who goes: the status and, with a no, when to come back (ms).
         self.agreed: Optional[Callable[[bool], Coroutine[tuple[int, float]]]] = None
@@ -111,8 +124,11 @@
                     head = event
                 elif isinstance(event, h11.EndOfMessage) and head is not None:
                     path = head.target.decode("latin-1").partition("?")[0]
-                    if (self.agreed is not None and head.method == b"POST"
-                            and path in ("/healthcheck/fail", "/healthcheck/ok")):
+                    if (
+                        self.agreed is not None
+                        and head.method == b"POST"
+                        and path in ("/healthcheck/fail", "/healthcheck/ok")
+                    ):
                         status, after = yield from self.agreed(path.endswith("/fail"))
                     else:
                         status = self.answer(head.method.decode(), path)
@@ -123,9 +139,11 @@
             status = 400
         except (Broken, Expired):
             return  # guards the table against a caller that said nothing or half: its slot is free again
-        reply = (f"HTTP/1.1 {status} {_REASONS.get(status, 'No')}\r\n"
-                 f"{f'Retry-After: {after / 1000.0:.3f}' + chr(13) + chr(10) if after else ''}"
-                 "Content-Length: 0\r\nConnection: close\r\n\r\n")
+        reply = (
+            f"HTTP/1.1 {status} {_REASONS.get(status, 'No')}\r\n"
+            f"{f'Retry-After: {after / 1000.0:.3f}' + chr(13) + chr(10) if after else ''}"
+            "Content-Length: 0\r\nConnection: close\r\n\r\n"
+        )
         try:
             yield from connection.send(reply.encode(), self.loop.now() + CALL_MS)
         except (Broken, Expired):
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -41,23 +41,23 @@
 from ashvale.net.pool import Carrier, Stopped
 
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
-REQUEST_MS = 2000.0       # a service client has this long for one request, and to begin with its first
-IDLE_MS = 75000.0         # and may leave its connection idle for this long
-PAST_MOST = 2048          # ids of messages that are over, kept to know them again
-LINGER_MS = 250.0         # the rest of an answer that is settled may trickle in for this long
-REST_MS = 80.0            # the rest of a refusal has this long to come, or the answer is spoilt
+REQUEST_MS = 2000.0  # a service client has this long for one request, and to begin with its first
+IDLE_MS = 75000.0  # and may leave its connection idle for this long
+PAST_MOST = 2048  # ids of messages that are over, kept to know them again
+LINGER_MS = 250.0  # the rest of an answer that is settled may trickle in for this long
+REST_MS = 80.0  # the rest of a refusal has this long to come, or the answer is spoilt
 LAST_REQUEST_MS = 3100.0  # after SIGTERM a request that is not whole by then is answered as it is
-SETTLE_MS = 400.0         # and a new connection that says nothing for so long is ended
+SETTLE_MS = 400.0  # and a new connection that says nothing for so long is ended
 # How long a watch may wait, and discovery's agent to answer. Together less than the 6 s after which what a
 # watch that fell silent has missed counts as told.
 WATCH_MS, AGENT_MS = 4000.0, 1000.0
-NOTICE_MS = 200.0         # the agent answers notices at once; what is late to be told counts as lost
+NOTICE_MS = 200.0  # the agent answers notices at once; what is late to be told counts as lost
 RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
 BUSY_MS = (20.0, 16000.0)  # where it turns lists away: first, for each courier of the fleet, and longest
-NOTICES_MOST = 400        # lines in one notice
-LOAD_MOST = 1024          # characters of a load report that are looked at
-PROBE_MS = 1500.0         # a probe is answered within this, or it has failed
-RATE_MOST = 1e6           # calls a second that a list may say a partner takes
+NOTICES_MOST = 400  # lines in one notice
+LOAD_MOST = 1024  # characters of a load report that are looked at
+PROBE_MS = 1500.0  # a probe is answered within this, or it has failed
+RATE_MOST = 1e6  # calls a second that a list may say a partner takes
 _ID = re.compile(rb"[!-~]{1,200}\Z")
 _DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
 _LOAD = re.compile(r"(?<![^\s,])(\w{1,40})=(\d{1,12}(?:\.\d{1,12})?)(?![^\s,])")
@@ -134,19 +134,27 @@
         where = "0.0.0.0", 0
     state = get(data, "health", str, what="host")
     return Instance(
-        name=get(data, "host", str, what="host"), dest=str(get(data, "block", int, 0, "host")),
-        address=where, kind=get(data, "class", str, "", "host"), zone=get(data, "site", str, "", "host"),
-        ready=state == "SERVING", gone=state == "DELETED",
+        name=get(data, "host", str, what="host"),
+        dest=str(get(data, "block", int, 0, "host")),
+        address=where,
+        kind=get(data, "class", str, "", "host"),
+        zone=get(data, "site", str, "", "host"),
+        ready=state == "SERVING",
+        gone=state == "DELETED",
         # Guards pacing against a rate that is none: a negative one, no number, or an endless one.
         rate=share if 0.0 < (share := get(data, "share", float, 0.0, "host")) <= RATE_MOST else 0.0,
-        born_ms=get(data, "born_ms", float, 0.0, "host"))
+        born_ms=get(data, "born_ms", float, 0.0, "host"),
+    )
 
 
 def decode_hosts(data: Any) -> tuple[int, bool, list[Instance]]:
     """Discovery's answer: version, whether the list is whole, and its lines."""
     hosts = get(data, "hosts", list, what="list")
-    return (get(data, "seq", int, what="list"), get(data, "whole", bool, what="list"),
-            [decode_host(host) for host in hosts])
+    return (
+        get(data, "seq", int, what="list"),
+        get(data, "whole", bool, what="list"),
+        [decode_host(host) for host in hosts],
+    )
 
 
 # The service clients' side
@@ -242,8 +250,9 @@
                 return
             http.start_next_cycle()
 
-    def _request(self, connection: Connection, http: h11.Connection,
-                 used: bool) -> Coroutine[Optional[Request]]:
+    def _request(
+        self, connection: Connection, http: h11.Connection, used: bool
+    ) -> Coroutine[Optional[Request]]:
         """Read one request; None at the end of the connection."""
         head: Optional[h11.Request] = None
         began = self.loop.now()
@@ -256,7 +265,8 @@
             if event is h11.NEED_DATA:
                 if http.they_are_waiting_for_100_continue:
                     yield from connection.send(
-                        http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"", until)
+                        http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"", until
+                    )
                 idle = head is None and not http.trailing_data[0]
                 if idle:
                     self.listener.rest(connection, used)
@@ -289,8 +299,14 @@
                     raise Refused(413, "body too large")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-                return Request(head.method.decode(), head.target.decode().partition("?")[0], headers,
-                               bytes(body), self.loop.now(), began)
+                return Request(
+                    head.method.decode(),
+                    head.target.decode().partition("?")[0],
+                    headers,
+                    bytes(body),
+                    self.loop.now(),
+                    began,
+                )
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
 
@@ -339,13 +355,26 @@
         needs_key = cls is not None and cls.effect is api.Effect.KEYED
         if (needs_key or key) and not _ID.match(key.encode("latin-1")):
             raise Refused(400, "Idempotency-Key is missing or malformed")
-        return Command(id, "platform", name, dest, tenant, key, request.read_at + timeout, request.body,
-                       "client-retry" in headers, order=order, began=request.began,
-                       traceparent=headers.get("traceparent", ""), tracestate=headers.get("tracestate", ""),
-                       handed=headers.get("x-request-start", ""))
-
-    def _reply(self, connection: Connection, http: h11.Connection, status: int,
-               headers: list[tuple[str, str]]) -> Coroutine[None]:
+        return Command(
+            id,
+            "platform",
+            name,
+            dest,
+            tenant,
+            key,
+            request.read_at + timeout,
+            request.body,
+            "client-retry" in headers,
+            order=order,
+            began=request.began,
+            traceparent=headers.get("traceparent", ""),
+            tracestate=headers.get("tracestate", ""),
+            handed=headers.get("x-request-start", ""),
+        )
+
+    def _reply(
+        self, connection: Connection, http: h11.Connection, status: int, headers: list[tuple[str, str]]
+    ) -> Coroutine[None]:
         # Guards new clients where each keeps a connection of its own: resting ones go too late to make room.
         close = self.closing or self.draining or self.listener.crowded
         # Guards a request that has come behind this one: it was read, so it is answered too.
@@ -478,8 +507,15 @@
         self.connection, self.host = connection, f"{address[0]}:{address[1]}"
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
 
-    def ask(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes, until: float,
-            reply: Reply) -> Coroutine[None]:
+    def ask(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        until: float,
+        reply: Reply,
+    ) -> Coroutine[None]:
         """One request and its answer; `reply` tells how far it came, whatever happens."""
         if self.http.our_state is h11.DONE:
             self.http.start_next_cycle()
@@ -544,8 +580,9 @@
 class Pool(Carrier[HttpClient]):
     """Carries executions to instances as calls."""
 
-    def _converse(self, client: Optional[HttpClient],
-                  execution: Execution) -> Coroutine[Optional[HttpClient]]:
+    def _converse(
+        self, client: Optional[HttpClient], execution: Execution
+    ) -> Coroutine[Optional[HttpClient]]:
         reply, instance = Reply(execution=execution), execution.instance
         outcome = Outcome.CONNECT_FAILED
         try:
@@ -607,7 +644,8 @@
             if outcome is Outcome.FULL and _crowded(execution, reply, wait):
                 outcome = Outcome.CROWDED
             self.exchange.report(
-                execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy, load)
+                execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy, load
+            )
 
     def _load(self, reply: Reply, body: bytes = b"") -> dict[str, float]:
         """The load report in an answer's head, or in the body of a probe's answer."""
@@ -628,7 +666,8 @@
             if (client := self._reuse(instance.name)) is None:
                 limit = min(call.until, began + self.exchange.settings.connect_timeout_ms)
                 client = HttpClient(
-                    (yield from connect(self.loop, instance.address, limit)), instance.address)
+                    (yield from connect(self.loop, instance.address, limit)), instance.address
+                )
             if not self.exchange.may_go(call):
                 outcome = Outcome.MOOT
             else:
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -124,11 +124,15 @@
         return Outcome.CONNECT_FAILED if self.exchange.may_write(execution) else Outcome.MOOT
 
     def _connect(self, execution: Execution) -> Coroutine[Connection]:
-        limit = min(execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms,
-                    max(execution.by))
+        limit = min(
+            execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms, max(execution.by)
+        )
         # Guards a message whose window is nearly over against waiting for a connection of no use to it.
-        ends = [self.loop.call_at(by, lambda: self.exchange.may_write(execution))
-                for by in sorted(set(execution.by)) if by < limit]
+        ends = [
+            self.loop.call_at(by, lambda: self.exchange.may_write(execution))
+            for by in sorted(set(execution.by))
+            if by < limit
+        ]
         try:
             connection = yield from connect(self.loop, execution.instance.address, limit)
         finally:
--- a/ashvale/rehearsal.py
+++ b/ashvale/rehearsal.py
@@ -84,8 +84,9 @@
 """
 
 
-def set_up(port: int, protocol: str = "smtp", deadline: int = 6000, window: int = 6000,
-           limits: str = "") -> str:
+def set_up(
+    port: int, protocol: str = "smtp", deadline: int = 6000, window: int = 6000, limits: str = ""
+) -> str:
     """The mail front's file for a courier with one partner for two destinations."""
     return SETUP.format(port=port, protocol=protocol, deadline=deadline, window=window, limits=limits)
 
@@ -122,8 +123,7 @@
     loop = Loop()
     with tempfile.TemporaryDirectory() as folder:
         other = partner(loop)
-        stage = Stage(loop, Path(folder), set_up(
-            other.address[1], "lmtp" if other.lmtp else "smtp", **setup))
+        stage = Stage(loop, Path(folder), set_up(other.address[1], "lmtp" if other.lmtp else "smtp", **setup))
         try:
             yield loop, other, stage
         finally:
@@ -141,15 +141,16 @@
 
     name: str
     recipient: str
-    reply: str                       # the code that the client must read
-    deliveries: int                  # how often the final dot may have reached the partner
+    reply: str  # the code that the client must read
+    deliveries: int  # how often the final dot may have reached the partner
     scripts: list[Script] = field(default_factory=list)
     lmtp: bool = False
-    least_gap_ms: float = 0.0        # between the first two transactions
+    least_gap_ms: float = 0.0  # between the first two transactions
     setup: dict[str, Any] = field(default_factory=dict)
 
     def play(self) -> str:
         """Play the case; an empty text says that all went as it must."""
+
         def other(loop: Loop) -> Partner:
             return Partner(loop, self.lmtp, self.scripts)
 
@@ -167,25 +168,56 @@
 
 USAGE, RATE = "usage@a.example", "rate@a.example"
 CASES = (
-    *(Case(f"drop at {step}, then delivered", USAGE, "250", 1, [{step: DROP}])
-      for step in ("connect", "hello", "mail", "rcpt", "data")),
-    Case("drop with the dot sent but not read, usage-record is not sent again", USAGE, "554", 0,
-         [{"body": DROP}]),
+    *(
+        Case(f"drop at {step}, then delivered", USAGE, "250", 1, [{step: DROP}])
+        for step in ("connect", "hello", "mail", "rcpt", "data")
+    ),
+    Case(
+        "drop with the dot sent but not read, usage-record is not sent again",
+        USAGE,
+        "554",
+        0,
+        [{"body": DROP}],
+    ),
     Case("drop after the dot, usage-record is not sent again", USAGE, "554", 1, [{"dot": DROP}]),
     Case("drop after the dot, rate-update is sent again", RATE, "250", 2, [{"dot": DROP}]),
-    Case("4xx with a wait is kept, then delivered", USAGE, "250", 1,
-         [{"mail": "451 come back in 700 ms"}], least_gap_ms=699.0),
-    Case("4xx after the dot never ran", USAGE, "250", 2, [{"dot": "452 try again after 1 second"}],
-         least_gap_ms=999.0),
-    Case("a wait beyond the message's time ends it at once", USAGE, "451", 0,
-         [{"rcpt": "450 try again in 1 hour"}]),
-    Case("stall after the dot, usage-record is not sent again", USAGE, "554", 1, [{"dot": STALL}],
-         setup={"deadline": 1500}),
+    Case(
+        "4xx with a wait is kept, then delivered",
+        USAGE,
+        "250",
+        1,
+        [{"mail": "451 come back in 700 ms"}],
+        least_gap_ms=699.0,
+    ),
+    Case(
+        "4xx after the dot never ran",
+        USAGE,
+        "250",
+        2,
+        [{"dot": "452 try again after 1 second"}],
+        least_gap_ms=999.0,
+    ),
+    Case(
+        "a wait beyond the message's time ends it at once",
+        USAGE,
+        "451",
+        0,
+        [{"rcpt": "450 try again in 1 hour"}],
+    ),
+    Case(
+        "stall after the dot, usage-record is not sent again",
+        USAGE,
+        "554",
+        1,
+        [{"dot": STALL}],
+        setup={"deadline": 1500},
+    ),
     Case("refusal of the recipient is final", RATE, "554", 0, [{"rcpt": "550 unknown"}]),
     Case("refusal after the dot is final", USAGE, "554", 1, [{"dot": "554 no"}]),
     Case("lmtp delivers", USAGE, "250", 1, lmtp=True),
-    Case("lmtp drop after the dot, usage-record is not sent again", USAGE, "554", 1, [{"dot": DROP}],
-         lmtp=True),
+    Case(
+        "lmtp drop after the dot, usage-record is not sent again", USAGE, "554", 1, [{"dot": DROP}], lmtp=True
+    ),
 )
 
 
--- a/ashvale/routing/door.py
+++ b/ashvale/routing/door.py
@@ -20,7 +20,7 @@
 from ashvale.routing.router import Facts, Route
 
 SOON_MS = 500.0  # when to come back where only the end of another message makes room
-LINE = 0.5       # of its time that a message may stand in line for a rate; the rest is for its tries
+LINE = 0.5  # of its time that a message may stand in line for a rate; the rest is for its tries
 TIDY_MS = 10_000.0
 
 
@@ -43,7 +43,7 @@
     names: tuple[str, ...]
     calls: tuple[str, ...] = ()  # limits that count its call, while one is out
     out: bool = False
-    again: bool = False          # it had a try before
+    again: bool = False  # it had a try before
     ended: bool = False
 
     @property
@@ -117,13 +117,15 @@
         own = self.plan.own.get(("partner", partner))
         return state or (FULL if own and not self._limits.room((own,), now) else "")
 
-    def hold(self, number: int, id: str, route: Optional[Route], network: str, dest: str, again: bool,
-             now: float) -> None:
+    def hold(
+        self, number: int, id: str, route: Optional[Route], network: str, dest: str, again: bool, now: float
+    ) -> None:
         """A message was taken on, or an earlier life of the process has left it."""
         if number in self._held:
             return
         held = self._held[number] = _Held(
-            id, network, route, dest, self._names(route, dest, network), again=again)
+            id, network, route, dest, self._names(route, dest, network), again=again
+        )
         self._take(held, now)
         if now >= self._tidy_at:
             self._tidy_at = now + TIDY_MS
--- a/ashvale/routing/health.py
+++ b/ashvale/routing/health.py
@@ -15,7 +15,7 @@
 
 from ashvale.routing.pools import SHUT, WAITING
 
-FAILURES = 4               # in a row, after which a partner is shut
+FAILURES = 4  # in a row, after which a partner is shut
 TRIAL_MS = 1000.0, 30000.0  # first and longest pause before a trial
 
 
@@ -23,7 +23,7 @@
 class _Partner:
     listed: Optional[bool] = None  # None: no list has told of it yet
     failures: int = 0
-    pause: float = 0.0             # 0 while it is not shut
+    pause: float = 0.0  # 0 while it is not shut
     trial_at: float = 0.0
     waits_until: float = 0.0
 
--- a/ashvale/routing/limits.py
+++ b/ashvale/routing/limits.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from typing import Optional
 
-BURST_MS = 1000.0      # a rate may be used ahead by so much time
-BUDGET_MS = 10000.0    # deposits count for so long
-RESERVE_PER_S = 0.2    # retries that are always allowed
+BURST_MS = 1000.0  # a rate may be used ahead by so much time
+BUDGET_MS = 10000.0  # deposits count for so long
+RESERVE_PER_S = 0.2  # retries that are always allowed
 FOREVER = float("inf")
 
 
@@ -35,8 +35,8 @@
     def __init__(self, limit: Limit, now: float) -> None:
         self.limit = limit
         self.out = self.held = 0
-        self.again = 0                   # messages that wait for a further try
-        self._due = now                  # when the rate's next cell is due
+        self.again = 0  # messages that wait for a further try
+        self._due = now  # when the rate's next cell is due
         self._budget, self._since = 0.0, now
 
     # Messages
--- a/ashvale/routing/pools.py
+++ b/ashvale/routing/pools.py
@@ -33,7 +33,7 @@
     if weight <= 0:
         return 0.0
     digest = hashlib.blake2b(f"{message}\0{partner}".encode(), digest_size=8).digest()
-    share = (int.from_bytes(digest, "big") + 0.5) / 2.0 ** 64
+    share = (int.from_bytes(digest, "big") + 0.5) / 2.0**64
     return -weight / math.log(share)
 
 
--- a/ashvale/routing/router.py
+++ b/ashvale/routing/router.py
@@ -53,8 +53,9 @@
 
 def in_hours(minute: int, spans: Iterable[tuple[int, int]]) -> bool:
     """Whether a minute lies in any of the spans; one whose end lies before its start goes past midnight."""
-    return any(start <= minute < end if start < end else minute >= start or minute < end
-               for start, end in spans)
+    return any(
+        start <= minute < end if start < end else minute >= start or minute < end for start, end in spans
+    )
 
 
 @lru_cache(maxsize=4096)
@@ -68,12 +69,14 @@
 
 def fits(route: Route, facts: Facts) -> bool:
     """Whether all conditions hold: the meaning of a route, which the index only makes quick."""
-    return ((not route.classes or facts.cls in route.classes)
-            and (not route.networks or facts.network in route.networks)
-            and (not route.destinations or facts.destination in route.destinations)
-            and (not route.senders or fits_pattern(facts.sender, route.senders))
-            and (not route.recipients or fits_pattern(facts.recipient, route.recipients))
-            and (not route.hours or in_hours(facts.minute, route.hours)))
+    return (
+        (not route.classes or facts.cls in route.classes)
+        and (not route.networks or facts.network in route.networks)
+        and (not route.destinations or facts.destination in route.destinations)
+        and (not route.senders or fits_pattern(facts.sender, route.senders))
+        and (not route.recipients or fits_pattern(facts.recipient, route.recipients))
+        and (not route.hours or in_hours(facts.minute, route.hours))
+    )
 
 
 # A condition of a route as the index has it: unconstrained, or texts of one kind.
@@ -144,8 +147,13 @@
         for shape, table in self._tables:
             if table.first >= best:
                 break  # tables stand by their first route: none of the rest can be earlier
-            key = (facts.cls if shape[0] else "", facts.network if shape[1] else "",
-                   facts.destination if shape[2] else "", _text(shape[3], sender), _text(shape[4], recipient))
+            key = (
+                facts.cls if shape[0] else "",
+                facts.network if shape[1] else "",
+                facts.destination if shape[2] else "",
+                _text(shape[3], sender),
+                _text(shape[4], recipient),
+            )
             for number in table.keys.get(key, ()):
                 if number >= best:
                     break
@@ -158,16 +166,33 @@
         """For each route up to the one that fits, which condition does not hold: for people, slowly."""
         told = []
         for route in self.routes:
-            reason = next((text for held, text in (
-                (not route.classes or facts.cls in route.classes, f"class '{facts.cls}'"),
-                (not route.networks or facts.network in route.networks, f"network '{facts.network}'"),
-                (not route.destinations or facts.destination in route.destinations,
-                 f"destination '{facts.destination}'"),
-                (not route.senders or fits_pattern(facts.sender, route.senders), f"sender '{facts.sender}'"),
-                (not route.recipients or fits_pattern(facts.recipient, route.recipients),
-                 f"recipient '{facts.recipient}'"),
-                (not route.hours or in_hours(facts.minute, route.hours),
-                 f"{facts.minute // 60:02d}:{facts.minute % 60:02d}")) if not held), "")
+            reason = next(
+                (
+                    text
+                    for held, text in (
+                        (not route.classes or facts.cls in route.classes, f"class '{facts.cls}'"),
+                        (not route.networks or facts.network in route.networks, f"network '{facts.network}'"),
+                        (
+                            not route.destinations or facts.destination in route.destinations,
+                            f"destination '{facts.destination}'",
+                        ),
+                        (
+                            not route.senders or fits_pattern(facts.sender, route.senders),
+                            f"sender '{facts.sender}'",
+                        ),
+                        (
+                            not route.recipients or fits_pattern(facts.recipient, route.recipients),
+                            f"recipient '{facts.recipient}'",
+                        ),
+                        (
+                            not route.hours or in_hours(facts.minute, route.hours),
+                            f"{facts.minute // 60:02d}:{facts.minute % 60:02d}",
+                        ),
+                    )
+                    if not held
+                ),
+                "",
+            )
             told.append((route.name, reason))
             if not reason:
                 break
--- a/ashvale/trace/codec.py
+++ b/ashvale/trace/codec.py
@@ -146,8 +146,10 @@
     if len(numbers) % 3:
         raise Damaged("spans of odd length")
     try:
-        return [Span(*split(what), length / UNIT, ref - 1)
-                for what, length, ref in zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True)]
+        return [
+            Span(*split(what), length / UNIT, ref - 1)
+            for what, length, ref in zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True)
+        ]
     except ValueError as error:
         raise Damaged(str(error)) from None
 
@@ -165,9 +167,16 @@
     if len(numbers) % 4:
         raise Damaged("attempts of odd length")
     try:
-        return [Attempt(numbers[i], texts[numbers[i + 1]], OUTCOMES[numbers[i + 2] // 2],
-                        members=numbers[i + 3], earlier=bool(numbers[i + 2] % 2))
-                for i in range(0, len(numbers), 4)]
+        return [
+            Attempt(
+                numbers[i],
+                texts[numbers[i + 1]],
+                OUTCOMES[numbers[i + 2] // 2],
+                members=numbers[i + 3],
+                earlier=bool(numbers[i + 2] % 2),
+            )
+            for i in range(0, len(numbers), 4)
+        ]
     except IndexError:
         raise Damaged("an attempt names what is not there") from None
 
@@ -182,11 +191,12 @@
 
 def add_detail(attempts: list[Attempt], numbers: list[int]) -> None:
     """Fill in what a detail record tells."""
-    for at, attempt in enumerate(attempts[:len(numbers) // 6]):
-        reused, *rest = numbers[6 * at:6 * at + 6]
+    for at, attempt in enumerate(attempts[: len(numbers) // 6]):
+        reused, *rest = numbers[6 * at : 6 * at + 6]
         attempt.reused = bool(reused)
         attempt.connected, attempt.written, attempt.first, attempt.told, attempt.obeyed = (
-            value / UNIT for value in rest)
+            value / UNIT for value in rest
+        )
 
 
 def end_of(record: Message) -> End:
--- a/ashvale/trace/context.py
+++ b/ashvale/trace/context.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from typing import Optional
 
-STATE_MOST = 512       # characters of tracestate that are passed on
-MEMBERS_MOST = 32      # list members in it
+STATE_MOST = 512  # characters of tracestate that are passed on
+MEMBERS_MOST = 32  # list members in it
 SAMPLED = 1
 _PARENT = re.compile(r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?", re.S)
 _KEY = re.compile(r"(?:[a-z][a-z0-9_*/-]{0,255}|[a-z0-9][a-z0-9_*/-]{0,240}@[a-z][a-z0-9_*/-]{0,13})\Z")
@@ -110,10 +110,17 @@
 
     `traceparent` names one call, so members have headers of their own; the protocol leaves headers free.
     """
-    named = [("X-Member-Traceparent", ", ".join(
-        f"{at};{context.header(number)}" for at, (context, number) in enumerate(contexts)))]
-    named += [("X-Member-Tracestate", f"{at};{context.state}")
-              for at, (context, _) in enumerate(contexts) if context.state]
+    named = [
+        (
+            "X-Member-Traceparent",
+            ", ".join(f"{at};{context.header(number)}" for at, (context, number) in enumerate(contexts)),
+        )
+    ]
+    named += [
+        ("X-Member-Tracestate", f"{at};{context.state}")
+        for at, (context, _) in enumerate(contexts)
+        if context.state
+    ]
     return named
 
 
--- a/ashvale/trace/export.py
+++ b/ashvale/trace/export.py
@@ -53,12 +53,20 @@
 
 def message_facts(trace: Trace) -> dict[str, Any]:
     facts: dict[str, Any] = {
-        "message.id": trace.id, "message.front": trace.front, "message.class": trace.cls,
-        "message.destination": trace.dest, "message.network": trace.tenant, "message.end": trace.outcome}
+        "message.id": trace.id,
+        "message.front": trace.front,
+        "message.class": trace.cls,
+        "message.destination": trace.dest,
+        "message.network": trace.tenant,
+        "message.end": trace.outcome,
+    }
     if trace.late > 0:
         facts["message.late_ms"] = round(trace.late, 1)
-    for flag, name in ((codec.FRONT_UNKNOWN, "front_unknown"), (codec.RESUMED, "resumed"),
-                       (codec.CLOCK_STEPPED, "clock_stepped")):
+    for flag, name in (
+        (codec.FRONT_UNKNOWN, "front_unknown"),
+        (codec.RESUMED, "resumed"),
+        (codec.CLOCK_STEPPED, "clock_stepped"),
+    ):
         if trace.flag(flag):
             facts[name] = True
     return facts
@@ -67,17 +75,39 @@
 def _otlp_spans(trace: Trace) -> Iterator[dict[str, Any]]:
     context, at = trace.context, trace.start
 
-    def span(id: str, parent: str, name: str, kind: int, start: float, ms: float, facts: dict[str, Any],
-             status: int) -> dict[str, Any]:
-        made = {"traceId": trace.trace_id, "spanId": id, "name": name, "kind": kind,
-                "startTimeUnixNano": str(round(start * 1000.0) * 1000),
-                "endTimeUnixNano": str(round((start + ms) * 1000.0) * 1000),
-                "attributes": _attributes(facts), "status": {"code": status}}
+    def span(
+        id: str,
+        parent: str,
+        name: str,
+        kind: int,
+        start: float,
+        ms: float,
+        facts: dict[str, Any],
+        status: int,
+    ) -> dict[str, Any]:
+        made = {
+            "traceId": trace.trace_id,
+            "spanId": id,
+            "name": name,
+            "kind": kind,
+            "startTimeUnixNano": str(round(start * 1000.0) * 1000),
+            "endTimeUnixNano": str(round((start + ms) * 1000.0) * 1000),
+            "attributes": _attributes(facts),
+            "status": {"code": status},
+        }
         return made | ({"parentSpanId": parent} if parent else {})
 
     good = OK if trace.end is End.DELIVERED else ERROR
-    yield span(context.span, context.parent, f"message {trace.cls}", SERVER, at, trace.total,
-               message_facts(trace), good)
+    yield span(
+        context.span,
+        context.parent,
+        f"message {trace.cls}",
+        SERVER,
+        at,
+        trace.total,
+        message_facts(trace),
+        good,
+    )
     for number, part in enumerate(trace.spans):
         facts = attempt_facts(trace, part) if part.kind is Kind.ATTEMPT else {}
         if part.kind is Kind.ATTEMPT and facts:
@@ -95,8 +125,9 @@
     courier, first = None, True
     for trace in traces:
         if trace.courier != courier:
-            resource = {"attributes": _attributes({
-                "service.name": "ashvale", "service.instance.id": trace.courier})}
+            resource = {
+                "attributes": _attributes({"service.name": "ashvale", "service.instance.id": trace.courier})
+            }
             yield (b"" if courier is None else b"]}]},") + b'{"resource":' + msgspec.json.encode(resource)
             yield b',"scopeSpans":[{"scope":{"name":"ashvale.trace"},"spans":['
             courier, first = trace.courier, True
@@ -115,18 +146,38 @@
         events: list[dict[str, Any]] = []
         if (pid := couriers.get(trace.courier)) is None:
             pid = couriers[trace.courier] = len(couriers) + 1
-            events.append({"ph": "M", "name": "process_name", "pid": pid, "tid": 0,
-                           "args": {"name": trace.courier}})
-        events.append({"ph": "M", "name": "thread_name", "pid": pid, "tid": thread,
-                       "args": {"name": trace.id}})
+            events.append(
+                {"ph": "M", "name": "process_name", "pid": pid, "tid": 0, "args": {"name": trace.courier}}
+            )
+        events.append(
+            {"ph": "M", "name": "thread_name", "pid": pid, "tid": thread, "args": {"name": trace.id}}
+        )
         at = trace.start
-        events.append({"ph": "X", "name": f"message {trace.cls}", "cat": trace.outcome, "pid": pid,
-                       "tid": thread, "ts": round(at * 1000.0), "dur": round(trace.total * 1000.0),
-                       "args": message_facts(trace) | {"trace_id": trace.trace_id}})
+        events.append(
+            {
+                "ph": "X",
+                "name": f"message {trace.cls}",
+                "cat": trace.outcome,
+                "pid": pid,
+                "tid": thread,
+                "ts": round(at * 1000.0),
+                "dur": round(trace.total * 1000.0),
+                "args": message_facts(trace) | {"trace_id": trace.trace_id},
+            }
+        )
         for part in trace.spans:
-            events.append({"ph": "X", "name": trace.label(part), "cat": part.kind.name.lower(), "pid": pid,
-                           "tid": thread, "ts": round(at * 1000.0), "dur": round(part.ms * 1000.0),
-                           "args": attempt_facts(trace, part) if part.kind is Kind.ATTEMPT else {}})
+            events.append(
+                {
+                    "ph": "X",
+                    "name": trace.label(part),
+                    "cat": part.kind.name.lower(),
+                    "pid": pid,
+                    "tid": thread,
+                    "ts": round(at * 1000.0),
+                    "dur": round(part.ms * 1000.0),
+                    "args": attempt_facts(trace, part) if part.kind is Kind.ATTEMPT else {},
+                }
+            )
             at += part.ms
         for event in events:
             yield (b"" if first else b",") + msgspec.json.encode(event)
--- a/ashvale/trace/model.py
+++ b/ashvale/trace/model.py
@@ -12,44 +12,44 @@
 from enum import IntEnum
 from typing import Optional
 
-SPANS_MOST = 48     # spans of one message kept apart
+SPANS_MOST = 48  # spans of one message kept apart
 ATTEMPTS_MOST = 24  # attempts of one message kept with their detail
-ROOM_FOR_END = 6    # of the spans, those kept free for attempts and the end
+ROOM_FOR_END = 6  # of the spans, those kept free for attempts and the end
 
 
 class Kind(IntEnum):
     """What a span is."""
 
-    FRONT = 0     # from the hand-in, where the client says when that was, to the door
-    DOOR = 1      # the request is read and checked
-    JOURNAL = 2   # a write that the message waited for
-    ANSWER = 3    # taken on, and the client is being told so
-    WAIT = 4      # see the reason
+    FRONT = 0  # from the hand-in, where the client says when that was, to the door
+    DOOR = 1  # the request is read and checked
+    JOURNAL = 2  # a write that the message waited for
+    ANSWER = 3  # taken on, and the client is being told so
+    WAIT = 4  # see the reason
     ATTEMPT = 5
-    NOTICE = 6    # from the decision until the client or platform has heard the end
-    DOWN = 7      # no process was there
+    NOTICE = 6  # from the decision until the client or platform has heard the end
+    DOWN = 7  # no process was there
 
 
 class Reason(IntEnum):
     """Why a message waits."""
 
     NONE = 0
-    TURN = 1         # nothing holds it but the next tick, or others of its destination that go first
-    RING = 2         # the ring of send times of its destination
-    TOLD_WAIT = 3    # a wait that its destination told
-    PAUSE = 4        # the courier's own pause after a refusal that told no wait
-    RETRY_HOLD = 5   # the message's own pause after a failed attempt
-    TABLE_FULL = 6   # the same, where the connection table of its endpoint was full
-    NO_SLOT = 7      # all slots, or all that one destination may hold, are taken
+    TURN = 1  # nothing holds it but the next tick, or others of its destination that go first
+    RING = 2  # the ring of send times of its destination
+    TOLD_WAIT = 3  # a wait that its destination told
+    PAUSE = 4  # the courier's own pause after a refusal that told no wait
+    RETRY_HOLD = 5  # the message's own pause after a failed attempt
+    TABLE_FULL = 6  # the same, where the connection table of its endpoint was full
+    NO_SLOT = 7  # all slots, or all that one destination may hold, are taken
     NO_ENDPOINT = 8  # no endpoint of its destination is listed and ready
-    HELD_OUT = 9     # its endpoints are held to fail, and the next trial is not due
-    WARM_UP = 10     # an endpoint that came back is given its load in steps
-    OVERDUE = 11     # an endpoint that does not answer is given no more until it does
-    ORDER = 12       # an earlier message of its key goes first
-    CLOSING = 13     # the process is about to end
-    SHED = 14        # stretches that were merged: more than are kept apart
-    EARLIER = 15     # in an earlier life of the process, whose reasons went with it
-    OWN_LIMIT = 16   # a rate, calls at once or retry budget that the operator's set allows
+    HELD_OUT = 9  # its endpoints are held to fail, and the next trial is not due
+    WARM_UP = 10  # an endpoint that came back is given its load in steps
+    OVERDUE = 11  # an endpoint that does not answer is given no more until it does
+    ORDER = 12  # an earlier message of its key goes first
+    CLOSING = 13  # the process is about to end
+    SHED = 14  # stretches that were merged: more than are kept apart
+    EARLIER = 15  # in an earlier life of the process, whose reasons went with it
+    OWN_LIMIT = 16  # a rate, calls at once or retry budget that the operator's set allows
 
 
 def joined(kind: Kind, reason: Reason) -> int:
@@ -64,7 +64,9 @@
 
 _BLAME = {
     "partner": (Reason.HELD_OUT, Reason.WARM_UP, Reason.OVERDUE, Reason.RETRY_HOLD, Reason.TABLE_FULL),
-    "limit": (Reason.RING, Reason.TOLD_WAIT, Reason.PAUSE, Reason.OWN_LIMIT), "list": (Reason.NO_ENDPOINT,)}
+    "limit": (Reason.RING, Reason.TOLD_WAIT, Reason.PAUSE, Reason.OWN_LIMIT),
+    "list": (Reason.NO_ENDPOINT,),
+}
 _BY_REASON = {reason: who for who, reasons in _BLAME.items() for reason in reasons}
 
 
@@ -83,14 +85,25 @@
     DELIVERED = 0
     RETURNED = 1
     FAILED = 2
-    REFUSED = 3    # at the door
+    REFUSED = 3  # at the door
     WITHDRAWN = 4  # the client never heard that it was taken
-    OPEN = 5       # no end was seen
+    OPEN = 5  # no end was seen
 
 
 ENDS = {"delivered": End.DELIVERED, "returned": End.RETURNED, "failed": End.FAILED}
-OUTCOMES = ("", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "out",
-            "crowded")
+OUTCOMES = (
+    "",
+    "ok",
+    "error",
+    "full",
+    "timeout",
+    "connect_failed",
+    "reset",
+    "cancelled",
+    "moot",
+    "out",
+    "crowded",
+)
 """Outcomes of attempts by number; `out` when the process ended while the attempt was out."""
 
 
@@ -116,8 +129,8 @@
     connected: float = -1.0
     written: float = -1.0
     first: float = -1.0
-    told: float = 0.0     # the wait that it was told
-    obeyed: float = 0.0   # the told wait that went before it
+    told: float = 0.0  # the wait that it was told
+    obeyed: float = 0.0  # the told wait that went before it
     earlier: bool = False  # made in an earlier life of the process
 
 
--- a/ashvale/trace/reader.py
+++ b/ashvale/trace/reader.py
@@ -110,8 +110,11 @@
     def label(self, span: Span) -> str:
         """What a span is, in a word or two."""
         if span.kind is Kind.ATTEMPT:
-            return f"attempt {self.attempts[span.ref].endpoint}" if 0 <= span.ref < len(self.attempts) \
+            return (
+                f"attempt {self.attempts[span.ref].endpoint}"
+                if 0 <= span.ref < len(self.attempts)
                 else "attempt"
+            )
         return label(span.kind, span.reason)
 
 
@@ -139,19 +142,27 @@
     if not root.is_dir():
         raise FileNotFoundError(f"no folder of traces: {root}")
     return sorted(p for p in root.iterdir() if p.is_dir() and store.listed(p)) + (
-        [root] if store.listed(root) else [])
-
-
-def read_all(root: Path, stock: Stock, since: float = 0.0, until: float = float("inf"),
-             id: Optional[str] = None, details: bool = True) -> Iterator[Trace]:
+        [root] if store.listed(root) else []
+    )
+
+
+def read_all(
+    root: Path,
+    stock: Stock,
+    since: float = 0.0,
+    until: float = float("inf"),
+    id: Optional[str] = None,
+    details: bool = True,
+) -> Iterator[Trace]:
     """All traces that began within these times, each once; with `id` only those of this trace or message."""
     for folder in couriers(root):
         stock.count(folder)
         yield from _courier(folder, stock, since, until, id, details)
 
 
-def _courier(folder: Path, stock: Stock, since: float, until: float, id: Optional[str],
-             details: bool) -> Iterator[Trace]:
+def _courier(
+    folder: Path, stock: Stock, since: float, until: float, id: Optional[str], details: bool
+) -> Iterator[Trace]:
     segments = sorted(store.listed(folder), key=lambda s: s.number)
     known: dict[bytes, list[int]] = {}
     for segment in segments if details else ():
@@ -166,8 +177,16 @@
         yield from _segment(folder.name, segment, data, known, seen, since, until, id)
 
 
-def _segment(courier: str, segment: Segment, data: bytes, known: dict[bytes, list[int]], seen: set[int],
-             since: float, until: float, id: Optional[str]) -> Iterator[Trace]:
+def _segment(
+    courier: str,
+    segment: Segment,
+    data: bytes,
+    known: dict[bytes, list[int]],
+    seen: set[int],
+    since: float,
+    until: float,
+    id: Optional[str],
+) -> Iterator[Trace]:
     texts: list[str] = []
     causes: dict[int, Cause] = {}
     held: Optional[Trace] = None
@@ -177,8 +196,11 @@
         elif isinstance(record, CauseNote):
             try:
                 causes[record.number] = Cause(
-                    codec.text_at(texts, record.dest) or "?", Kind(record.kind), Reason(record.reason),
-                    codec.text_at(texts, record.endpoint) or "")
+                    codec.text_at(texts, record.dest) or "?",
+                    Kind(record.kind),
+                    Reason(record.reason),
+                    codec.text_at(texts, record.endpoint) or "",
+                )
             except ValueError:
                 continue  # a kind of a later version
         elif isinstance(record, Message):
@@ -191,8 +213,9 @@
             if where in seen:  # two lives of the courier, or a removal cut short, have written it
                 continue
             seen.add(where)
-            held = Trace(courier, segment.rank, record, texts, causes.get(record.cause),
-                         known.pop(_key(record), None))
+            held = Trace(
+                courier, segment.rank, record, texts, causes.get(record.cause), known.pop(_key(record), None)
+            )
         elif isinstance(record, Detail) and held is not None and _key(record) == _key(held.record):
             held.detail = record.numbers
     if held is not None:
@@ -278,7 +301,7 @@
             shelf.messages += head.messages
             shelf.first = min(shelf.first or head.first, head.first)
             shelf.last = max(shelf.last, head.last)
-            for at, count in enumerate(head.ends[:len(End)]):
+            for at, count in enumerate(head.ends[: len(End)]):
                 if count:
                     shelf.ends[End(at).name.lower()] = shelf.ends.get(End(at).name.lower(), 0) + count
         found += [shelf for shelf in made.values() if shelf.segments]
--- a/ashvale/trace/reasons.py
+++ b/ashvale/trace/reasons.py
@@ -35,8 +35,9 @@
     return (e.last_sent + controller._pace(e, grown, now) if grown < 1.0 else 0.0), Reason.WARM_UP
 
 
-def outlook(controller: Controller, dest: int, now: float,
-            told: Callable[[Endpoint], float] = lambda e: 0.0) -> list[Step]:
+def outlook(
+    controller: Controller, dest: int, now: float, told: Callable[[Endpoint], float] = lambda e: 0.0
+) -> list[Step]:
     """What holds this destination's messages from now on: steps of (until, reason), the last without an end.
 
     `told` says when the wait is over that was told for an endpoint's destination, or route apart. The steps
--- a/ashvale/trace/recorder.py
+++ b/ashvale/trace/recorder.py
@@ -30,8 +30,8 @@
 if TYPE_CHECKING:
     from ashvale.exchange import Command, Exchange, Execution
 
-DESTS_MOST = 512    # destinations whose reasons are followed at once
-STARVED_MOST = 64   # of those without a slot, looked at again in one turn
+DESTS_MOST = 512  # destinations whose reasons are followed at once
+STARVED_MOST = 64  # of those without a slot, looked at again in one turn
 TIDY_MS = 30000.0
 # While a message's own pause runs, these would not have held it: it was not ready to go.
 _YIELDS = frozenset({Reason.TURN, Reason.RING, Reason.NO_SLOT, Reason.PAUSE, Reason.SHED})
@@ -47,13 +47,13 @@
     context: Context
     entry: Entry
     dest: int
-    aim: float          # wanted by, on the loop's clock
-    sampled: bool       # the verdict, as it was when the message was taken
+    aim: float  # wanted by, on the loop's clock
+    sampled: bool  # the verdict, as it was when the message was taken
     flags: int = 0
     phase: str = "taken"  # taken, waits, out, telling
-    ref: int = -1       # the attempt that is out
-    tries: int = 0      # to tell the end
-    hold: float = 0.0   # its own pause runs until then
+    ref: int = -1  # the attempt that is out
+    tries: int = 0  # to tell the end
+    hold: float = 0.0  # its own pause runs until then
     hold_for: Reason = Reason.RETRY_HOLD
     ordered: bool = False  # an earlier message of its key goes first
     obeyed: float = 0.0
@@ -69,7 +69,7 @@
     life: Life
     end: End
     start: float  # wall clock
-    aim: float    # from the start
+    aim: float  # from the start
     limit: float
     after: float
     flags: int
@@ -78,6 +78,7 @@
 
 def guarded(method: F) -> F:
     """Guards the courier against a fault of its tracing: that ends, and nothing else does."""
+
     @functools.wraps(method)
     def call(self: Recorder, *args: Any) -> Any:
         if self.store is None:
@@ -90,23 +91,25 @@
             log.exception("tracing failed")
             self.stop("a fault of its own")
         return None
+
     return call  # type: ignore[return-value]
 
 
 class Recorder:
     """One courier's tracing. `random` gives so many random bytes."""
 
-    def __init__(self, exchange: Exchange, setup: config.Trace, name: str,
-                 random: Callable[[int], bytes]) -> None:
+    def __init__(
+        self, exchange: Exchange, setup: config.Trace, name: str, random: Callable[[int], bytes]
+    ) -> None:
         self.exchange, self.loop, self.random = exchange, exchange.loop, random
         self.store: Optional[Store] = None
         self._live: dict[int, Live] = {}
-        self._waiting: dict[int, int] = {}           # messages that wait, by destination
+        self._waiting: dict[int, int] = {}  # messages that wait, by destination
         self._lines: dict[int, Timeline] = {}
-        self._due: list[tuple[float, int]] = []      # when a foreseen reason is over
+        self._due: list[tuple[float, int]] = []  # when a foreseen reason is over
         self._starved: dict[int, None] = {}
         self._ordered: dict[int, Live] = {}
-        self._outcomes: dict[int, Outcome] = {}      # of this turn's attempts that leave a message waiting
+        self._outcomes: dict[int, Outcome] = {}  # of this turn's attempts that leave a message waiting
         self._tidy_at = 0.0
         self.name = "".join(c if c.isalnum() or c in "-_." else "_" for c in name).strip(".") or "courier"
         self.setup = setup
@@ -115,7 +118,10 @@
     def begin(self, setup: config.Trace) -> None:
         """Write to the folder of these settings from now on; with others than before, begin it anew."""
         if self.store is not None and (setup.folder, setup.budget, setup.age_ms) == (
-                self.setup.folder, self.setup.budget, self.setup.age_ms):
+            self.setup.folder,
+            self.setup.budget,
+            self.setup.age_ms,
+        ):
             self.setup = setup
             return
         self.close()
@@ -135,8 +141,15 @@
         if self.store is not None:
             self.store.close()
         self.store = None
-        for table in (self._live, self._waiting, self._lines, self._due, self._starved, self._ordered,
-                      self._outcomes):
+        for table in (
+            self._live,
+            self._waiting,
+            self._lines,
+            self._due,
+            self._starved,
+            self._ordered,
+            self._outcomes,
+        ):
             table.clear()
 
     def close(self) -> None:
@@ -215,8 +228,18 @@
     @guarded
     def refused(self, command: Command, why: str) -> None:
         """Turned away at the door: a short trace of its own."""
-        entry = Entry(0, command.id, command.front, command.cls, command.dest, command.tenant, command.key,
-                      self.exchange.wall(command.deadline), b"", trace=self.identify(command) or "")
+        entry = Entry(
+            0,
+            command.id,
+            command.front,
+            command.cls,
+            command.dest,
+            command.tenant,
+            command.key,
+            self.exchange.wall(command.deadline),
+            b"",
+            trace=self.identify(command) or "",
+        )
         live = self._followed(entry)
         if live is not None:
             live.life.end(self.loop.now(), Kind.DOOR)
@@ -313,8 +336,12 @@
             line = self._lines[dest] = Timeline()
             if len(self._lines) > DESTS_MOST:
                 del self._lines[next(iter(self._lines))]
-        first = line.look(now, outlook(
-            self.exchange.controller, dest, now, lambda e: self.exchange.told_wait(e.target.decode())))
+        first = line.look(
+            now,
+            outlook(
+                self.exchange.controller, dest, now, lambda e: self.exchange.told_wait(e.target.decode())
+            ),
+        )
         if first < FOREVER:
             heapq.heappush(self._due, (first, dest))
             if len(self._due) > 8 * DESTS_MOST:  # most are overtaken by later looks
@@ -369,13 +396,17 @@
         for entry, number in zip(execution.parts, execution.attempts, strict=True):
             if live := self._live.get(entry.number):
                 live.life.advance(now, Kind.JOURNAL)
-                live.ref = live.life.begin_attempt(Attempt(
-                    number + 1, execution.instance.name, members=len(execution.parts), obeyed=live.obeyed))
+                live.ref = live.life.begin_attempt(
+                    Attempt(
+                        number + 1, execution.instance.name, members=len(execution.parts), obeyed=live.obeyed
+                    )
+                )
                 live.phase, live.obeyed = "out", 0.0
 
     @guarded
-    def settled(self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float,
-                ended: float) -> None:
+    def settled(
+        self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float, ended: float
+    ) -> None:
         """One part of an execution ended at that time, and the journal has it."""
         live = self._live.get(entry.number)
         if live is None:
@@ -390,7 +421,8 @@
                 attempt.reused = execution.reused
                 attempt.connected, attempt.written, attempt.first = (
                     at - began if at else -1.0
-                    for at in (execution.connected, execution.written, execution.first))
+                    for at in (execution.connected, execution.written, execution.first)
+                )
         life.advance(self.loop.now(), Kind.JOURNAL)
         live.hold = 0.0
         self._waits(live)
@@ -471,9 +503,15 @@
             life.advance(min(begun, now), *self._before(life, endpoint))
             if endpoint:
                 number = sum(1 for a in life.attempts) + 1
-                place = life.begin_attempt(Attempt(
-                    number, str(endpoint), OUTCOMES[outcome] if 0 < outcome < len(OUTCOMES) else "out",
-                    told=float(told), earlier=True))
+                place = life.begin_attempt(
+                    Attempt(
+                        number,
+                        str(endpoint),
+                        OUTCOMES[outcome] if 0 < outcome < len(OUTCOMES) else "out",
+                        told=float(told),
+                        earlier=True,
+                    )
+                )
                 life.advance(min(until, now), Kind.ATTEMPT, Reason.NONE, place)
                 if outcome == 0:
                     live.ref = place
@@ -497,9 +535,19 @@
     def _finish(self, live: Live, end: End, why: str = "") -> None:
         entry, life = live.entry, live.life
         late = life.at - live.aim if end is End.DELIVERED else 0.0
-        done = Done(live.context, entry.id, (entry.front, entry.cls, entry.dest, entry.tenant), life, end,
-                    self.exchange.wall(life.start), live.aim - life.start,
-                    self.exchange.local(entry.deadline) - life.start, entry.after_ms, live.flags, why)
+        done = Done(
+            live.context,
+            entry.id,
+            (entry.front, entry.cls, entry.dest, entry.tenant),
+            life,
+            end,
+            self.exchange.wall(life.start),
+            live.aim - life.start,
+            self.exchange.local(entry.deadline) - life.start,
+            entry.after_ms,
+            live.flags,
+            why,
+        )
         rank = sampling.rank(end, late, live.sampled)
         if life.shed and self.store is not None:
             self.store.miss("spans", life.shed, done.start, done.start + life.total)
@@ -514,8 +562,11 @@
     def _sample(self, done: Done, why: int) -> None:
         done.flags |= why
         assert self.store is not None
-        self.store.put(Rank.SAMPLE, done.start + done.life.total,
-                       lambda texts: [self._message(done, texts, 0), self._detail(done)])
+        self.store.put(
+            Rank.SAMPLE,
+            done.start + done.life.total,
+            lambda texts: [self._message(done, texts, 0), self._detail(done)],
+        )
 
     def _keep(self, done: Done) -> None:
         assert self.store is not None
@@ -539,17 +590,31 @@
     def _message(done: Done, texts: Texts, cause_number: int) -> Message:
         front, cls, dest, tenant = map(texts.number, done.names)
         return Message(
-            bytes.fromhex(done.context.trace_id), codec.short(done.id), front, cls, dest, tenant,
-            int(done.end), cause_number, round(done.start, 1), round(done.aim), round(done.limit),
+            bytes.fromhex(done.context.trace_id),
+            codec.short(done.id),
+            front,
+            cls,
+            dest,
+            tenant,
+            int(done.end),
+            cause_number,
+            round(done.start, 1),
+            round(done.aim),
+            round(done.limit),
             round(done.after),
-            codec.pack_spans(done.life.spans), codec.pack_attempts(done.life.attempts, texts),
-            bytes.fromhex(done.context.parent), done.flags, done.life.shed,
-            texts.number(done.why) + 1 if done.why else 0)
+            codec.pack_spans(done.life.spans),
+            codec.pack_attempts(done.life.attempts, texts),
+            bytes.fromhex(done.context.parent),
+            done.flags,
+            done.life.shed,
+            texts.number(done.why) + 1 if done.why else 0,
+        )
 
     @staticmethod
     def _detail(done: Done) -> Detail:
-        return Detail(bytes.fromhex(done.context.trace_id), codec.short(done.id),
-                      codec.pack_detail(done.life.attempts))
+        return Detail(
+            bytes.fromhex(done.context.trace_id), codec.short(done.id), codec.pack_detail(done.life.attempts)
+        )
 
     def _tidy(self) -> None:
         assert self.store is not None
--- a/ashvale/trace/report.py
+++ b/ashvale/trace/report.py
@@ -30,8 +30,8 @@
     what: str
     spans: int = 0
     ms: float = 0.0
-    late_ms: float = 0.0    # of the lateness of all late messages, what it explains
-    caused: int = 0         # late messages of which it explains the most
+    late_ms: float = 0.0  # of the lateness of all late messages, what it explains
+    caused: int = 0  # late messages of which it explains the most
     times: Any = field(default_factory=lambda: HdrHistogram(1, LONGEST, 2))
 
     def at(self, percentile: float) -> float:
@@ -94,7 +94,7 @@
         numbers, late, dest = trace.record.spans, trace.late, trace.dest
         parts: list[tuple[Row, int, float]] = []
         for at in range(0, len(numbers) - 2, 3):
-            code, length, ref = numbers[at:at + 3]
+            code, length, ref = numbers[at : at + 3]
             if code == Kind.ATTEMPT * 16:
                 what = _endpoint(trace, ref - 1)
             elif (found := names.get(code)) is None:
--- a/ashvale/trace/sampling.py
+++ b/ashvale/trace/sampling.py
@@ -17,8 +17,8 @@
 from ashvale.trace.model import End, Kind, Reason
 
 MINUTE_MS = 60000.0
-DESTS_MOST = 256    # destinations whose slowest are looked for at once
-CAUSES_MOST = 512   # causes whose detail is counted at once
+DESTS_MOST = 256  # destinations whose slowest are looked for at once
+CAUSES_MOST = 512  # causes whose detail is counted at once
 T = TypeVar("T")
 
 
@@ -27,8 +27,8 @@
 
     DROP = 0
     SAMPLE = 1
-    DETAIL = 2   # the detail of a message that went wrong
-    KEPT = 3     # the message itself, with all its spans
+    DETAIL = 2  # the detail of a message that went wrong
+    KEPT = 3  # the message itself, with all its spans
 
 
 @dataclass(frozen=True)
--- a/ashvale/trace/store.py
+++ b/ashvale/trace/store.py
@@ -30,13 +30,13 @@
 from ashvale.trace.sampling import Rank, first_to_go
 
 RAW, SEALED = b"AVTR\x01\x00\r\n", b"AVTZ\x01\x00\r\n"
-FRAME = struct.Struct("<HI")        # length, checksum of the payload
-HEAD = struct.Struct("<8sIIQQ")     # magic, length of head and of payload, checksum of each
+FRAME = struct.Struct("<HI")  # length, checksum of the payload
+HEAD = struct.Struct("<8sIIQQ")  # magic, length of head and of payload, checksum of each
 BLOCK = 512
-NOTE = 2 * BLOCK                    # the file that says what is missing
+NOTE = 2 * BLOCK  # the file that says what is missing
 SEGMENT_MOST, SEGMENT_LEAST = 64 * 1024, 4096
-LEAST_BYTES = 16 * SEGMENT_LEAST    # less cannot hold a segment of each stream and one being sealed
-LEVEL = 1                           # of compression: a segment takes about a millisecond
+LEAST_BYTES = 16 * SEGMENT_LEAST  # less cannot hold a segment of each stream and one being sealed
+LEVEL = 1  # of compression: a segment takes about a millisecond
 STREAMS = {Rank.SAMPLE: "s", Rank.DETAIL: "d", Rank.KEPT: "k"}
 RANKS = {letter: rank for rank, letter in STREAMS.items()}
 
@@ -119,7 +119,7 @@
     while at + FRAME.size <= len(data):
         size, check = FRAME.unpack_from(data, at)
         end = at + FRAME.size + size
-        payload = view[at + FRAME.size:end]
+        payload = view[at + FRAME.size : end]
         if len(payload) != size or xxhash.xxh32_intdigest(payload) != check:
             return
         try:
@@ -147,8 +147,13 @@
     payload = zlib.compress(data[:size], LEVEL)
     index = array("H", sorted(keys)).tobytes()
     head = msgspec.msgpack.encode(Head(first, last, size, count, ends, texts, index))
-    return HEAD.pack(SEALED, len(head), len(payload), xxhash.xxh64_intdigest(head),
-                     xxhash.xxh64_intdigest(payload)) + head + payload
+    return (
+        HEAD.pack(
+            SEALED, len(head), len(payload), xxhash.xxh64_intdigest(head), xxhash.xxh64_intdigest(payload)
+        )
+        + head
+        + payload
+    )
 
 
 def read_head(data: bytes) -> Head:
@@ -156,7 +161,7 @@
     if len(data) < HEAD.size:
         raise Damaged("a sealed segment cut short")
     magic, size, _, check, _ = HEAD.unpack_from(data)
-    head = data[HEAD.size:HEAD.size + size]
+    head = data[HEAD.size : HEAD.size + size]
     if magic != SEALED or len(head) != size or xxhash.xxh64_intdigest(head) != check:
         raise Damaged("the head of a sealed segment is damaged")
     try:
@@ -167,11 +172,11 @@
 
 def inside(data: bytes) -> bytes:
     """The records of a segment, raw or sealed; `Damaged` where nothing of it can be believed."""
-    if data[:len(RAW)] == RAW:
-        return data[len(RAW):]
+    if data[: len(RAW)] == RAW:
+        return data[len(RAW) :]
     head = read_head(data)
     _, size, length, _, check = HEAD.unpack_from(data)
-    payload = data[HEAD.size + size:HEAD.size + size + length]
+    payload = data[HEAD.size + size : HEAD.size + size + length]
     if len(payload) != length or xxhash.xxh64_intdigest(payload) != check:
         raise Damaged("a sealed segment is damaged")
     try:
@@ -208,8 +213,9 @@
 
     # Writing
 
-    def put(self, rank: Rank, wall: float, make: Callable[[Texts], Iterable[Record]],
-            messages: int = 1) -> None:
+    def put(
+        self, rank: Rank, wall: float, make: Callable[[Texts], Iterable[Record]], messages: int = 1
+    ) -> None:
         """Append what `make` returns for the texts of the segment at hand, whole or not at all."""
         try:
             self._put(rank, wall, make, messages)
@@ -281,7 +287,7 @@
         """Close the segment being written, compressed and indexed, under its own number."""
         current = self._open.pop(rank)
         os.close(current.file)
-        self._sealed(current.segment, current.segment.path.read_bytes()[len(RAW):])
+        self._sealed(current.segment, current.segment.path.read_bytes()[len(RAW) :])
 
     def _sealed(self, segment: Segment, data: bytes) -> None:
         raw = segment.path
--- a/ashvale/wire.py
+++ b/ashvale/wire.py
@@ -41,8 +41,14 @@
 _MAX_TABLES = 16
 
 _OUTCOMES = {
-    10: api.Outcome.OK, 20: api.Outcome.ERROR, 30: api.Outcome.FULL, 40: api.Outcome.TIMEOUT,
-    50: api.Outcome.CONNECT_FAILED, 60: api.Outcome.RESET, 70: api.Outcome.CANCELLED, 80: api.Outcome.MOOT,
+    10: api.Outcome.OK,
+    20: api.Outcome.ERROR,
+    30: api.Outcome.FULL,
+    40: api.Outcome.TIMEOUT,
+    50: api.Outcome.CONNECT_FAILED,
+    60: api.Outcome.RESET,
+    70: api.Outcome.CANCELLED,
+    80: api.Outcome.MOOT,
 }
 _READINESS = {0: api.Readiness.GONE, 1: api.Readiness.READY, 2: api.Readiness.DRAINING}
 _LISTS = {1: api.ListKind.FULL, 2: api.ListKind.FAILED, 3: api.ListKind.CACHED, 4: api.ListKind.DELTA}
@@ -63,7 +69,7 @@
         end = self._at + size
         if end > len(self._data):
             raise WireError(f"{self._where}: fields end after {len(self._data)} bytes, {end} needed")
-        part = self._data[self._at:end]
+        part = self._data[self._at : end]
         self._at = end
         return part
 
@@ -85,8 +91,16 @@
         self._tables: dict[int, tuple[api.Listing, ...]] = {}
         self._reports: dict[int, tuple[str, ...]] = {}
         self._readers: dict[int, Callable[[_Fields], Item]] = {
-            0: self._create, 1: self._list, 2: self._message, 3: self._started, 4: self._settled,
-            5: self._withdrawn, 6: self._timer, 7: self._probed, 8: self._note, 9: self._halt,
+            0: self._create,
+            1: self._list,
+            2: self._message,
+            3: self._started,
+            4: self._settled,
+            5: self._withdrawn,
+            6: self._timer,
+            7: self._probed,
+            8: self._note,
+            9: self._halt,
         }
 
     def header(self, data: bytes) -> tuple[int, int, int, float]:
@@ -112,7 +126,7 @@
             at += _RECORD.size
             if at + size > len(body):
                 raise WireError(f"{where}: frame ends inside the record")
-            fields = _Fields(body[at:at + size], where)
+            fields = _Fields(body[at : at + size], where)
             at += size
             try:
                 if code == 10:
--- a/benchmarks/config_routing.py
+++ b/benchmarks/config_routing.py
@@ -29,10 +29,15 @@
     from ashvale.config.check import check
     from ashvale.config.reader import Files, load
     from ashvale.routing.build import plan
-    files = {f"partners/{at}.toml": "".join(
-        f'[partner.p{n}]\ndestination = "{n}"\nrate = "{n % 9 + 1}/s"\n[partner.p{n}.endpoint.a]\n'
-        f'address = "127.{n >> 16}.{n >> 8 & 255}.{n & 255}:25"\n' for n in range(at, min(count, at + 500))
-    ).encode() for at in range(0, count, 500)}
+
+    files = {
+        f"partners/{at}.toml": "".join(
+            f'[partner.p{n}]\ndestination = "{n}"\nrate = "{n % 9 + 1}/s"\n[partner.p{n}.endpoint.a]\n'
+            f'address = "127.{n >> 16}.{n >> 8 & 255}.{n & 255}:25"\n'
+            for n in range(at, min(count, at + 500))
+        ).encode()
+        for at in range(0, count, 500)
+    }
     files["main.toml"] = b'include = ["partners/*.toml"]\n'
     before, began = memory(), time.perf_counter()
     made = load("main.toml", Files(files.__getitem__, lambda folder: list(files)))
@@ -41,27 +46,44 @@
     checked = time.perf_counter()
     plan(made)
     assert not found, found[:3]
-    print(f"{count:7} partners: load {loaded - began:6.2f} s, check {checked - loaded:6.2f} s, plan "
-          f"{time.perf_counter() - checked:6.2f} s, memory {(memory() - before) / 1024:6.1f} MB", flush=True)
+    print(
+        f"{count:7} partners: load {loaded - began:6.2f} s, check {checked - loaded:6.2f} s, plan "
+        f"{time.perf_counter() - checked:6.2f} s, memory {(memory() - before) / 1024:6.1f} MB",
+        flush=True,
+    )
 
 
 def routes(count: int) -> None:
     from ashvale.routing.router import Facts, Route, Router
-    made = [Route(f"r{n}", frozenset({f"c{n % 3}"}), frozenset({f"n{n % 7}"}) if n % 2 else frozenset(),
-                  frozenset({str(n)}) if n % 5 else frozenset(), (), (f"*@d{n}.example",) if n % 3 else ())
-            for n in range(count)]
+
+    made = [
+        Route(
+            f"r{n}",
+            frozenset({f"c{n % 3}"}),
+            frozenset({f"n{n % 7}"}) if n % 2 else frozenset(),
+            frozenset({str(n)}) if n % 5 else frozenset(),
+            (),
+            (f"*@d{n}.example",) if n % 3 else (),
+        )
+        for n in range(count)
+    ]
     before, began = memory(), time.perf_counter()
     router = Router([*made, Route("rest")])
     built = time.perf_counter() - began
     sequence = random.Random(3)
-    facts = [Facts(f"c{n % 3}", f"n{n % 7}", str(n), "", f"u@d{n}.example")
-             for n in (sequence.randrange(count) for _ in range(5000))]
+    facts = [
+        Facts(f"c{n % 3}", f"n{n % 7}", str(n), "", f"u@d{n}.example")
+        for n in (sequence.randrange(count) for _ in range(5000))
+    ]
     began = time.perf_counter()
     for one in facts:
         router.find(one)
     each = (time.perf_counter() - began) / len(facts)
-    print(f"{count:7} routes: {router.shapes} shapes, built in {built:6.2f} s, memory "
-          f"{(memory() - before) / 1024:6.1f} MB, {1 / each:9.0f} decisions a second", flush=True)
+    print(
+        f"{count:7} routes: {router.shapes} shapes, built in {built:6.2f} s, memory "
+        f"{(memory() - before) / 1024:6.1f} MB, {1 / each:9.0f} decisions a second",
+        flush=True,
+    )
 
 
 def main() -> None:
--- a/benchmarks/config_swap.py
+++ b/benchmarks/config_swap.py
@@ -22,7 +22,9 @@
 def text(count: int, held: int) -> str:
     return "".join(
         f'[limit.l{n}]\nheld = {held}\n[partner.p{n}]\nkind = "direct"\ndestination = "{n}"\nlimit = "l{n}"\n'
-        f'[[route]]\nname = "r{n}"\ndestinations = ["{n}"]\nto = "partner p{n}"\n' for n in range(count))
+        f'[[route]]\nname = "r{n}"\ndestinations = ["{n}"]\nto = "partner p{n}"\n'
+        for n in range(count)
+    )
 
 
 def memory() -> float:
@@ -32,6 +34,7 @@
 
 def one(count: int, held: int) -> None:
     from tests.stage import scene
+
     with scene(limits={"max_open": held + 10}, disk_mb=40) as s:
         s.endpoint(block=1)
         before = memory()
@@ -56,8 +59,11 @@
             pauses.append(longest * 1000.0)
             whole.append((last - began) * 1000.0)
         assert bool(s.courier.exchange.doors) is (count > 0)
-        print(f"{count:6} partners: longest turn {max(pauses):8.1f} ms, median {sorted(pauses)[2]:8.1f} ms, "
-              f"until in force {sorted(whole)[2]:8.1f} ms, memory {memory() - before:6.1f} MB", flush=True)
+        print(
+            f"{count:6} partners: longest turn {max(pauses):8.1f} ms, median {sorted(pauses)[2]:8.1f} ms, "
+            f"until in force {sorted(whole)[2]:8.1f} ms, memory {memory() - before:6.1f} MB",
+            flush=True,
+        )
 
 
 def main() -> None:
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -27,6 +27,7 @@
 
 def run_until(world: World, done: object, limit: float) -> None:
     import heapq
+
     while world._due and world.now < limit and not done():  # type: ignore[operator]
         world.now, _, action = heapq.heappop(world._due)
         action()
@@ -56,8 +57,11 @@
         world.commands["x"] = Put("x", "k", "v")
         if "x" not in world.hosts[other].agent.requests:  # type: ignore[union-attr]
             world.hosts[other].request(world.commands["x"])
-        run_until(world, lambda: "x" in world.known or "x" not in (
-            world.hosts[other].agent.requests), died + 20_000.0)  # type: ignore[union-attr]
+        run_until(
+            world,
+            lambda: "x" in world.known or "x" not in (world.hosts[other].agent.requests),
+            died + 20_000.0,
+        )  # type: ignore[union-attr]
     return world.now - died
 
 
@@ -81,12 +85,19 @@
         messages, cpu = idle(voters, followers)
         print(f"| {voters + followers} | {messages:.1f} | {cpu:.3%} of a core |")
     times = sorted(after_death(seed) for seed in range(100))
-    print(f"\nleader's death to the next decision, ms: median {statistics.median(times):.0f}, "
-          f"99 of 100 under {times[98]:.0f}, most {times[-1]:.0f}")
+    print(
+        f"\nleader's death to the next decision, ms: median {statistics.median(times):.0f}, "
+        f"99 of 100 under {times[98]:.0f}, most {times[-1]:.0f}"
+    )
     print(f"decisions a second of CPU, five voters in one process: {decisions():.0f}")
     for what in ("ashvale.__main__", "ashvale.__main__, ashvale.fleet.node"):
-        told = subprocess.run([sys.executable, "-c", MEMORY.format(what)], capture_output=True, text=True,
-                              check=True, cwd=Path(__file__).parent.parent)
+        told = subprocess.run(
+            [sys.executable, "-c", MEMORY.format(what)],
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=Path(__file__).parent.parent,
+        )
         print(f"memory after importing {what}: {float(told.stdout):.1f} MB")
 
 
--- a/benchmarks/fleet_drains.py
+++ b/benchmarks/fleet_drains.py
@@ -46,8 +46,10 @@
     print("| couriers | budget | took s | ideal s | ratio | most out |\n" + "| --- " * 6 + "|")
     for voters, followers, out in ((3, 0, "1"), (5, 35, "10 %"), (5, 195, "10 %")):
         took, ideal, peak = drains(voters, followers, out, 1)
-        print(f"| {voters + followers} | {out} | {took / 1000:.1f} | {ideal / 1000:.1f} | {took / ideal:.2f} "
-              f"| {peak} |")
+        print(
+            f"| {voters + followers} | {out} | {took / 1000:.1f} | {ideal / 1000:.1f} | {took / ideal:.2f} "
+            f"| {peak} |"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet_points.py
+++ b/benchmarks/fleet_points.py
@@ -20,8 +20,8 @@
 from ashvale.control import Controller  # noqa: E402
 from ashvale.interface import Effect, Outcome  # noqa: E402
 
-LIMIT, WINDOW = 80, 2000.0    # calls of all couriers in a window
-TOOK = 40.0                    # ms of a call
+LIMIT, WINDOW = 80, 2000.0  # calls of all couriers in a window
+TOOK = 40.0  # ms of a call
 CLASS = api.MessageClass("rate", Effect.SAFE, 1000.0, 8000.0, 1.0, 0.2)
 
 
@@ -65,8 +65,12 @@
         for action in courier.handle(event, self.now):
             if isinstance(action, api.Wake):
                 token = action.token
-                self.later(action.after_ms, lambda token=token: (  # type: ignore[misc]
-                    self.tell(n, api.Timer(token)) if self.couriers[n] is courier else None))
+                self.later(
+                    action.after_ms,
+                    lambda token=token: (  # type: ignore[misc]
+                        self.tell(n, api.Timer(token)) if self.couriers[n] is courier else None
+                    ),
+                )
             elif isinstance(action, api.Send):
                 self._call(n, courier, action)
             elif isinstance(action, (api.Refuse, api.Fail)):
@@ -92,6 +96,7 @@
             if self.couriers[n] is courier:
                 over = outcome is Outcome.OK
                 self.tell(n, api.Settled(number, attempt, send.target, outcome, took, over, wait))
+
         self.later(took, ends)
 
     def run(self, until: float) -> None:
@@ -141,18 +146,26 @@
     herd.run(25_000.0)
     ends = [at % WINDOW for at in busy.calls if at > 10_000.0]
     figures = [
-        rate(busy.served, 10_000.0, 30_000.0) / LIMIT, rate(busy.refused, 10_000.0, 30_000.0) / LIMIT,
-        sum(at < 100.0 for at in ends) / len(ends), back(cut.served, 19_000.0, 0.8),
-        push(fail.calls, 15_000.0, 25_000.0), back(fail.served, 15_000.0, 0.7),
-        rate(herd.served, 10_000.0, 14_000.0) / (0.8 * LIMIT), rate(herd.refused, 10_000.0, 14_000.0) / LIMIT]
+        rate(busy.served, 10_000.0, 30_000.0) / LIMIT,
+        rate(busy.refused, 10_000.0, 30_000.0) / LIMIT,
+        sum(at < 100.0 for at in ends) / len(ends),
+        back(cut.served, 19_000.0, 0.8),
+        push(fail.calls, 15_000.0, 25_000.0),
+        back(fail.served, 15_000.0, 0.7),
+        rate(herd.served, 10_000.0, 14_000.0) / (0.8 * LIMIT),
+        rate(herd.refused, 10_000.0, 14_000.0) / LIMIT,
+    ]
     return [str(count), *(f"{figure:.2f}" for figure in figures)]
 
 
 def main() -> None:
-    print("| couriers | served of the limit, 1.5 offered | refused of it | calls in a window's first 100 ms "
-          "| s to 80 % after a cut limit | most calls in 1 s after an outage, over what it could do "
-          "| s to 70 % after it | served of the offer after 7 in 10 restart | refused then |\n"
-          + "| --- " * 9 + "|")
+    print(
+        "| couriers | served of the limit, 1.5 offered | refused of it | calls in a window's first 100 ms "
+        "| s to 80 % after a cut limit | most calls in 1 s after an outage, over what it could do "
+        "| s to 70 % after it | served of the offer after 7 in 10 restart | refused then |\n"
+        + "| --- " * 9
+        + "|"
+    )
     for count in (1, 3, 40, 100):
         rows = [row(count, seed) for seed in (1, 2, 3)]
         print("| " + " | ".join(sorted(cells)[1] for cells in zip(*rows, strict=True)) + " |", flush=True)
--- a/benchmarks/lab_speed.py
+++ b/benchmarks/lab_speed.py
@@ -28,13 +28,19 @@
         count = int(told.seconds * rate)
         partners = tuple(Partner(f"p{n}", n, script=(DROP,) * 10 * (n == 1)) for n in range(1, 9))
         messages = tuple(Message(1000.0 * n / rate, f"m{n}", CLASSES[n % 2], n % 8 + 1) for n in range(count))
-        result = play(Scenario(partners, messages, settings={
-            "family_info": {"max_calls": 64}, "limits": {"max_open": 2000}}))
+        result = play(
+            Scenario(
+                partners, messages, settings={"family_info": {"max_calls": 64}, "limits": {"max_open": 2000}}
+            )
+        )
         memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
-        print(f"{rate:6.0f} messages a second: {result.virtual_ms / 1000:6.1f} s in "
-              f"{result.real_ms / 1000:6.2f} s, {result.virtual_ms / result.real_ms:6.1f} times real time, "
-              f"{count / result.real_ms * 1000:6.0f} messages a second of this machine, "
-              f"{len(result.broken)} rules broken, {memory:.0f} MB", flush=True)
+        print(
+            f"{rate:6.0f} messages a second: {result.virtual_ms / 1000:6.1f} s in "
+            f"{result.real_ms / 1000:6.2f} s, {result.virtual_ms / result.real_ms:6.1f} times real time, "
+            f"{count / result.real_ms * 1000:6.0f} messages a second of this machine, "
+            f"{len(result.broken)} rules broken, {memory:.0f} MB",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/trace_cost.py
+++ b/benchmarks/trace_cost.py
@@ -62,8 +62,15 @@
         while (now := self.loop.now()) < start + seconds * 1000.0:
             while count < (now - start) / 1000.0 * rate:
                 count += 1
-                self.due.append(request("rate-update", f"{count:016x}", dest=count % DESTS + 1,
-                                        body=b"x" * 212, timeout="28000m"))
+                self.due.append(
+                    request(
+                        "rate-update",
+                        f"{count:016x}",
+                        dest=count % DESTS + 1,
+                        body=b"x" * 212,
+                        timeout="28000m",
+                    )
+                )
             self.more.fire()
             yield from sleep(self.loop, 4.0)
 
@@ -80,16 +87,36 @@
         (folder / "state").mkdir()
         settings = json.loads(json.dumps(SETTINGS)) | {"tick_ms": 5.0}
         settings["family_info"]["max_calls"], settings["limits"]["max_open"] = 64, 4000
-        (folder / "config.json").write_text(json.dumps({
-            "name": "n1", "seed": "1f", "settings": settings, "known": discovery.whole(),
-            "limits": {"disk_mb": 3, "sockets": 256}}))
-        (folder / "own.toml").write_text("[trace]\n" if share is None else (
-            f"[trace]\nenabled = true\nshare = \"{share * 100:g} %\"\nbudget = \"1 MB\"\n"))
+        (folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": "n1",
+                    "seed": "1f",
+                    "settings": settings,
+                    "known": discovery.whole(),
+                    "limits": {"disk_mb": 3, "sockets": 256},
+                }
+            )
+        )
+        (folder / "own.toml").write_text(
+            "[trace]\n"
+            if share is None
+            else (f'[trace]\nenabled = true\nshare = "{share * 100:g} %"\nbudget = "1 MB"\n')
+        )
         process = subprocess.Popen(
-            [sys.executable, "-m", "ashvale"], cwd=checkout, stderr=subprocess.PIPE, env={
-                **os.environ, "LB_CONFIG": str(folder / "config.json"), "LB_STATE": str(folder / "state"),
-                "LB_LISTEN": "127.0.0.1:0", "LB_DISCOVERY": f"127.0.0.1:{discovery.listener.address[1]}",
-                "ASHVALE_SETTINGS": str(folder / "own.toml"), "PYTHONPATH": str(checkout)})
+            [sys.executable, "-m", "ashvale"],
+            cwd=checkout,
+            stderr=subprocess.PIPE,
+            env={
+                **os.environ,
+                "LB_CONFIG": str(folder / "config.json"),
+                "LB_STATE": str(folder / "state"),
+                "LB_LISTEN": "127.0.0.1:0",
+                "LB_DISCOVERY": f"127.0.0.1:{discovery.listener.address[1]}",
+                "ASHVALE_SETTINGS": str(folder / "own.toml"),
+                "PYTHONPATH": str(checkout),
+            },
+        )
         try:
             assert process.stderr is not None
             line = b""
@@ -103,10 +130,13 @@
             finish(loop, load.run(rate, seconds))
             after = figures(process.pid)
             taken = load.answers.get("202", 0)
-            return {"cpu_us": (after["cpu"] - before["cpu"]) / taken * 1e6,
-                    "written": (after["written"] - before["written"]) / taken,
-                    "rss_mb": after["rss"] / 1024, "peak_mb": after["peak"] / 1024,
-                    "taken": taken / (rate * seconds)}
+            return {
+                "cpu_us": (after["cpu"] - before["cpu"]) / taken * 1e6,
+                "written": (after["written"] - before["written"]) / taken,
+                "rss_mb": after["rss"] / 1024,
+                "peak_mb": after["peak"] / 1024,
+                "taken": taken / (rate * seconds),
+            }
         finally:
             process.kill()
             process.wait()
@@ -127,8 +157,12 @@
     stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     status = dict(line.split(":", 1) for line in Path(f"/proc/{pid}/status").read_text().splitlines())
     io = dict(line.split(": ") for line in Path(f"/proc/{pid}/io").read_text().splitlines())
-    return {"cpu": (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK"), "written": float(io["wchar"]),
-            "rss": float(status["VmRSS"].split()[0]), "peak": float(status["VmHWM"].split()[0])}
+    return {
+        "cpu": (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK"),
+        "written": float(io["wchar"]),
+        "rss": float(status["VmRSS"].split()[0]),
+        "peak": float(status["VmHWM"].split()[0]),
+    }
 
 
 def main() -> None:
@@ -139,7 +173,10 @@
     parser.add_argument("--against", type=Path, help="another checkout, run with tracing off")
     told = parser.parse_args()
     cases: list[tuple[str, Path, float | None]] = [
-        ("off", ROOT, None), ("1 %", ROOT, 0.01), ("100 %", ROOT, 1.0)]
+        ("off", ROOT, None),
+        ("1 %", ROOT, 0.01),
+        ("100 %", ROOT, 1.0),
+    ]
     if told.against:
         cases.insert(0, ("other checkout", told.against.resolve(), None))
     for rate in map(float, told.rates.split(",")):
@@ -147,8 +184,9 @@
         for _ in range(told.rounds):
             for name, checkout, share in cases:
                 results[name].append(once(checkout, share, rate, told.seconds))
-        print(f"\n{rate:g} messages a second, {told.rounds} rounds of {told.seconds:g} s: "
-              "median (least, most)")
+        print(
+            f"\n{rate:g} messages a second, {told.rounds} rounds of {told.seconds:g} s: median (least, most)"
+        )
         for name, found in results.items():
             row = []
             for key in ("cpu_us", "written", "rss_mb", "peak_mb", "taken"):
--- a/benchmarks/trace_report.py
+++ b/benchmarks/trace_report.py
@@ -35,17 +35,29 @@
         for n in range(count):
             store.put(Rank.KEPT, 1e12 + n, lambda texts, n=n: [message(sequence, n, texts)])
         store.close()
-        for what in (["report"], ["report", "--dest", "7"], ["list", "--late-over", "4500"],
-                     ["show", "0" * 32]):
+        for what in (
+            ["report"],
+            ["report", "--dest", "7"],
+            ["list", "--late-over", "4500"],
+            ["show", "0" * 32],
+        ):
             began = time.perf_counter()
-            subprocess.run([sys.executable, "-m", "ashvale", "trace", *what, "--folder", name], cwd=ROOT,
-                           stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+            subprocess.run(
+                [sys.executable, "-m", "ashvale", "trace", *what, "--folder", name],
+                cwd=ROOT,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
             took = time.perf_counter() - began
-            print(f"trace {' '.join(what)[:30]:30} {took:6.2f} s over {count * 7} spans "
-                  f"of {count} messages", flush=True)
+            print(
+                f"trace {' '.join(what)[:30]:30} {took:6.2f} s over {count * 7} spans of {count} messages",
+                flush=True,
+            )
         peak = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / 1024
-        print(f"largest process {peak:.0f} MB; folder "
-              f"{sum(p.stat().st_size for p in Path(name).rglob('*')) / 1e6:.1f} MB")
+        print(
+            f"largest process {peak:.0f} MB; folder "
+            f"{sum(p.stat().st_size for p in Path(name).rglob('*')) / 1e6:.1f} MB"
+        )
 
 
 if __name__ == "__main__":
--- a/tests/rulebook.py
+++ b/tests/rulebook.py
@@ -145,24 +145,38 @@
                 continue
             if not other.answered or any(sent.outcome is None for sent in other.attempts):
                 raise RuleBroken("rule 5: sent out of turn")
-            unsure = [s.ended for s in other.attempts
-                      if s.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)]
+            unsure = [
+                s.ended
+                for s in other.attempts
+                if s.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+            ]
             if unsure and self.now < max(unsure) + self.settings.order_settle_ms:
                 raise RuleBroken("rule 5: sent before the key had settled")
 
     def out(self) -> list[tuple[int, int, Sent]]:
         """Attempts without an outcome: message, number, attempt."""
-        return [(message, number, sent) for message, owed in self.owed.items()
-                for number, sent in enumerate(owed.attempts) if sent.outcome is None]
-
-    def settle(self, message: int, number: int, outcome: Outcome, wait: float = 0.0,
-               report: dict[str, float] | None = None) -> list[api.Action]:
+        return [
+            (message, number, sent)
+            for message, owed in self.owed.items()
+            for number, sent in enumerate(owed.attempts)
+            if sent.outcome is None
+        ]
+
+    def settle(
+        self,
+        message: int,
+        number: int,
+        outcome: Outcome,
+        wait: float = 0.0,
+        report: dict[str, float] | None = None,
+    ) -> list[api.Action]:
         owed = self.owed[message]
         sent = owed.attempts[number]
         finished = owed.answered or outcome is Outcome.OK
         took = self.now - sent.at
         return self.feed(
-            api.Settled(message, number, sent.target, outcome, took, finished, wait, report=report or {}))
+            api.Settled(message, number, sent.target, outcome, took, finished, wait, report=report or {})
+        )
 
     def until(self, at: float) -> None:
         """Let time pass: timers fire and attempts run out, in order."""
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -18,16 +18,31 @@
 
 def settings(**changes: Any) -> api.Settings:
     values: dict[str, Any] = {
-        "classes": CLASSES, "kinds": KINDS, "slots": 8, "max_open": 50, "max_attempts": 5,
-        "max_backoff_ms": 2000.0, "may_probe": True, "may_cancel": True, "drain_grace_ms": 0.0,
-        "order_settle_ms": 300.0, "zone_fees": (0.0, 0.02), "zones": ("near", "far"),
+        "classes": CLASSES,
+        "kinds": KINDS,
+        "slots": 8,
+        "max_open": 50,
+        "max_attempts": 5,
+        "max_backoff_ms": 2000.0,
+        "may_probe": True,
+        "may_cancel": True,
+        "drain_grace_ms": 0.0,
+        "order_settle_ms": 300.0,
+        "zone_fees": (0.0, 0.02),
+        "zones": ("near", "far"),
         "over_share_worth": 0.1,
     }
     return api.Settings(**{**values, **changes})
 
 
-def line(name: str, dest: int = 1, kind: int = 0, zone: int = 0,
-         ready: api.Readiness = api.Readiness.READY, rate: float = 0.0) -> api.Listing:
+def line(
+    name: str,
+    dest: int = 1,
+    kind: int = 0,
+    zone: int = 0,
+    ready: api.Readiness = api.Readiness.READY,
+    rate: float = 0.0,
+) -> api.Listing:
     return api.Listing(name.encode(), dest, kind, zone, ready, rate)
 
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -26,8 +26,18 @@
 )
 from ashvale.loop import Coroutine, Loop, connect, sleep
 
-__all__ = ["Call", "Discovery", "Endpoint", "Scene", "answer", "batch_ids", "read_request", "reload",
-           "request", "scene"]
+__all__ = [
+    "Call",
+    "Discovery",
+    "Endpoint",
+    "Scene",
+    "answer",
+    "batch_ids",
+    "read_request",
+    "reload",
+    "request",
+    "scene",
+]
 
 
 class Scene:
@@ -52,18 +62,30 @@
     def start(self) -> Courier:
         """Start the courier, or start it again after a kill."""
         file = self.folder / "config.json"
-        file.write_text(json.dumps({
-            "name": "n0", "seed": "1f", "settings": self.settings,
-            "limits": {"disk_mb": self.disk_mb, "sockets": self.sockets}, "known": self.discovery.whole()}))
+        file.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "seed": "1f",
+                    "settings": self.settings,
+                    "limits": {"disk_mb": self.disk_mb, "sockets": self.sockets},
+                    "known": self.discovery.whole(),
+                }
+            )
+        )
         self.courier = Courier(config.load(self.told), self.loop)
         return self.courier
 
     @property
     def told(self) -> dict[str, str]:
         """The environment of the courier."""
-        return {"LB_CONFIG": str(self.folder / "config.json"), "LB_STATE": str(self.folder),
-                "LB_LISTEN": f"{HERE}:0", "LB_DISCOVERY": f"{HERE}:{self.discovery.listener.address[1]}",
-                **self.environ}
+        return {
+            "LB_CONFIG": str(self.folder / "config.json"),
+            "LB_STATE": str(self.folder),
+            "LB_LISTEN": f"{HERE}:0",
+            "LB_DISCOVERY": f"{HERE}:{self.discovery.listener.address[1]}",
+            **self.environ,
+        }
 
     def again(self) -> None:
         self.courier.halt()
@@ -71,6 +93,7 @@
 
     def ask(self, data: bytes) -> bytes:
         """Write to the courier on a new connection and read its first answer's head."""
+
         def steps() -> Coroutine[bytes]:
             assert self.courier.server is not None
             address = self.courier.server.listener.address
@@ -84,10 +107,17 @@
                 head += part
             connection.close()
             return head
+
         return bytes(run(self.loop, steps()))
 
-    def hand_in(self, cls: str = "rate-update", dest: int = 1, body: bytes = b"hello", timeout: str = "9000m",
-                **headers: str) -> tuple[str, bytes]:
+    def hand_in(
+        self,
+        cls: str = "rate-update",
+        dest: int = 1,
+        body: bytes = b"hello",
+        timeout: str = "9000m",
+        **headers: str,
+    ) -> tuple[str, bytes]:
         """Hand a message in; return its id and the answer's head."""
         self.numbers += 1
         id = headers.pop("id", f"m{self.numbers}")
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -104,8 +104,9 @@
     return Outcome.OK, 40.0
 
 
-def driven(plan: Plan, outcome: Answer, pace: float, until: float,
-           dests: tuple[int, ...] = (1, 2), slots: int = 16) -> Drive:
+def driven(
+    plan: Plan, outcome: Answer, pace: float, until: float, dests: tuple[int, ...] = (1, 2), slots: int = 16
+) -> Drive:
     drive = Drive(plan, outcome, slots=slots, max_open=4000)
     drive.tell(LISTED)
     number, at = 0, 1.0
@@ -168,8 +169,10 @@
     drive.tell(LISTED)
     for number in range(1, 301):
         drive.at(number * 10.0, lambda n=number: drive.offer(n, n % 2 + 1))
-        drive.at(number * 10.0 + sequence.random() * 10.0,
-                 lambda: drive.door.swap(sequence.choice(plans), drive.now))
+        drive.at(
+            number * 10.0 + sequence.random() * 10.0,
+            lambda: drive.door.swap(sequence.choice(plans), drive.now),
+        )
     drive.run(12_000.0)
     assert drive.most[0] == 2 and len(drive.ends) == 300
     assert drive.door.held("home", drive.now) == 0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -28,8 +28,13 @@
     for name, numbers in (("n1", range(1, 40)), ("n2", range(40, 60))):
         store = Store(root / name, 4 * LEAST_BYTES, AGE, 1000.0)
         for number in numbers:
-            store.put(Rank.KEPT, 1000.0 + number, lambda texts, n=number: [  # type: ignore[misc]
-                message(n, texts, start=1e12)])
+            store.put(
+                Rank.KEPT,
+                1000.0 + number,
+                lambda texts, n=number: [  # type: ignore[misc]
+                    message(n, texts, start=1e12)
+                ],
+            )
         store.close()
     Store(root / "n1", 4 * LEAST_BYTES, AGE, 1000.0).close()
     yield root
@@ -39,12 +44,24 @@
     return CliRunner().invoke(cli.ashvale, [str(word) for word in words])
 
 
-@pytest.mark.parametrize(("options", "count", "code"), [
-    ((), 59, 0), (("--courier", "n2"), 20, 0), (("--dest", "3"), 12, 0), (("--dest", "77"), 0, 1),
-    (("--class", "usage-record", "--network", "home"), 59, 0), (("--end", "late"), 0, 1),
-    (("--end", "failed", "--end", "late"), 59, 0), (("--since", "1000000000.04"), 20, 0),
-    (("--until", "1000000000.04"), 39, 0), (("--since", "5m"), 0, 1), (("--took-over", "50"), 30, 0),
-    (("--late-over", "0"), 0, 1), (("--limit", "5"), 5, 0)])
+@pytest.mark.parametrize(
+    ("options", "count", "code"),
+    [
+        ((), 59, 0),
+        (("--courier", "n2"), 20, 0),
+        (("--dest", "3"), 12, 0),
+        (("--dest", "77"), 0, 1),
+        (("--class", "usage-record", "--network", "home"), 59, 0),
+        (("--end", "late"), 0, 1),
+        (("--end", "failed", "--end", "late"), 59, 0),
+        (("--since", "1000000000.04"), 20, 0),
+        (("--until", "1000000000.04"), 39, 0),
+        (("--since", "5m"), 0, 1),
+        (("--took-over", "50"), 30, 0),
+        (("--late-over", "0"), 0, 1),
+        (("--limit", "5"), 5, 0),
+    ],
+)
 def test_traces_are_chosen(folder: Path, options: tuple[str, ...], count: int, code: int) -> None:
     found = ashvale("trace", "list", "--folder", folder, "--json", *options)
     lines = [json.loads(text) for text in found.stdout.splitlines()]
@@ -52,12 +69,23 @@
     assert all(sum(s["ms"] for s in line["spans"]) == pytest.approx(line["total_ms"]) for line in lines)
 
 
-@pytest.mark.parametrize("words", [
-    ("trace", "list", "--folder", "/nowhere"), ("trace", "show", "x", "--folder", "/nowhere"),
-    ("trace", "report", "--folder", "/nowhere"), ("trace", "export", "--folder", "/nowhere"),
-    ("trace", "tail", "--folder", "/nowhere"), ("trace", "list", "--since", "soon"),
-    ("trace", "list", "--end", "x"), ("trace", "list"), ("trace",), ("nothing",),
-    ("import-haproxy", "/nowhere")], ids=" ".join)
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("trace", "list", "--folder", "/nowhere"),
+        ("trace", "show", "x", "--folder", "/nowhere"),
+        ("trace", "report", "--folder", "/nowhere"),
+        ("trace", "export", "--folder", "/nowhere"),
+        ("trace", "tail", "--folder", "/nowhere"),
+        ("trace", "list", "--since", "soon"),
+        ("trace", "list", "--end", "x"),
+        ("trace", "list"),
+        ("trace",),
+        ("nothing",),
+        ("import-haproxy", "/nowhere"),
+    ],
+    ids=" ".join,
+)
 def test_unreadable_input_is_one_clear_error(words: tuple[str, ...], monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.delenv("LB_STATE", raising=False)
     found = ashvale(*words)
@@ -95,8 +123,9 @@
     for root in (s for s in spans if s["kind"] == 2):
         parts = [s for s in spans if s.get("parentSpanId") == root["spanId"]]
         assert parts[0]["startTimeUnixNano"] == root["startTimeUnixNano"]
-        assert all(a["endTimeUnixNano"] == b["startTimeUnixNano"]
-                   for a, b in zip(parts, parts[1:], strict=False))
+        assert all(
+            a["endTimeUnixNano"] == b["startTimeUnixNano"] for a, b in zip(parts, parts[1:], strict=False)
+        )
         assert parts[-1]["endTimeUnixNano"] == root["endTimeUnixNano"]
     chrome = json.loads(ashvale("trace", "export", "--folder", folder, "--format", "chrome").stdout)
     assert sum(e["ph"] == "X" for e in chrome["traceEvents"]) == 59 * 3
@@ -122,6 +151,7 @@
 
 def test_damage_is_said_and_the_rest_is_read(folder: Path, tmp_path: Path) -> None:
     from shutil import copytree
+
     copytree(folder, tmp_path / "copy")
     sealed = next((tmp_path / "copy" / "n1").glob("*.seg"))
     sealed.write_bytes(sealed.read_bytes()[:-3])
@@ -132,9 +162,11 @@
 
 def test_a_running_courier_loads_nothing_of_it() -> None:
     """Guards 32 MB: neither the command line nor tracing is imported by a courier that does without."""
-    code = ("import sys, ashvale.__main__; "
-            "print(sorted({'click', 'rich', 'hdrh', 'msgspec', 'xxhash', 'ashvale.cli', 'ashvale.trace'}"
-            " & set(sys.modules)))")
+    code = (
+        "import sys, ashvale.__main__; "
+        "print(sorted({'click', 'rich', 'hdrh', 'msgspec', 'xxhash', 'ashvale.cli', 'ashvale.trace'}"
+        " & set(sys.modules)))"
+    )
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
 
@@ -157,13 +189,21 @@
 def test_no_two_modules_import_each_other_in_a_circle() -> None:
     """Guards the house's order: the loop below the core, the core below fronts, the command line on top."""
     root = Path(__file__).parent.parent
-    names = {".".join(p.relative_to(root).with_suffix("").parts).removesuffix(".__init__"): p
-             for p in (root / "ashvale").rglob("*.py")}
+    names = {
+        ".".join(p.relative_to(root).with_suffix("").parts).removesuffix(".__init__"): p
+        for p in (root / "ashvale").rglob("*.py")
+    }
     needs: dict[str, set[str]] = {}
     for name, path in names.items():
-        found = [node for node in ast.walk(ast.parse(path.read_text()))
-                 if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("ashvale")]
-        needs[name] = {whole if (whole := f"{node.module}.{alias.name}") in names else str(node.module)
-                       for node in found for alias in node.names} - {name}
+        found = [
+            node
+            for node in ast.walk(ast.parse(path.read_text()))
+            if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("ashvale")
+        ]
+        needs[name] = {
+            whole if (whole := f"{node.module}.{alias.name}") in names else str(node.module)
+            for node in found
+            for alias in node.names
+        } - {name}
     assert len(names) > 50 and "ashvale.loop" in needs["ashvale.exchange"]
     list(graphlib.TopologicalSorter(needs).static_order())  # raises CycleError
--- a/tests/test_config_language.py
+++ b/tests/test_config_language.py
@@ -78,26 +78,45 @@
 
 
 def test_all_mistakes_come_in_one_pass_in_the_order_in_which_they_stand() -> None:
-    texts = [b"\n".join(data["main.toml"] for title, (data, told) in BROKEN.items()
-                        if len(data) == 1 and told[0].startswith(code)) for code in ("E0130 ", "E0145 ")]
-    _, found = read({"main.toml": b'include = ["a.toml", "none.toml"]\n', "a.toml": re.sub(
-        rb"\[(class|limit|network|partner)\.(\w+)\]", lambda m: b"[%s.%s%d]" % (m[1], m[2], m.start()),
-        texts[0]).replace(b"[courier]", b"[courier]", 1)})
+    texts = [
+        b"\n".join(
+            data["main.toml"]
+            for title, (data, told) in BROKEN.items()
+            if len(data) == 1 and told[0].startswith(code)
+        )
+        for code in ("E0130 ", "E0145 ")
+    ]
+    _, found = read(
+        {
+            "main.toml": b'include = ["a.toml", "none.toml"]\n',
+            "a.toml": re.sub(
+                rb"\[(class|limit|network|partner)\.(\w+)\]",
+                lambda m: b"[%s.%s%d]" % (m[1], m[2], m.start()),
+                texts[0],
+            ).replace(b"[courier]", b"[courier]", 1),
+        }
+    )
     places = [(m.place.file, m.place.line) for m in found]
     assert places == sorted(places, key=lambda p: (p[0] != "main.toml", p[1])) and len(found) > 6
     assert {m.code for m in found} >= {"E0102", "E0130"}
 
 
 def test_order_of_layers() -> None:
-    made, found = read({
-        "main.toml": b'include = ["a.toml"]\n[override.limit.l]\nheld = 3\n',
-        "a.toml": b'[default.limit]\nheld = 1\nrate = "1/s"\nat_once = 1\n'
-                  b'[limit.l]\nrate = "2/s"\nheld = 2\n'})
+    made, found = read(
+        {
+            "main.toml": b'include = ["a.toml"]\n[override.limit.l]\nheld = 3\n',
+            "a.toml": b'[default.limit]\nheld = 1\nrate = "1/s"\nat_once = 1\n'
+            b'[limit.l]\nrate = "2/s"\nheld = 2\n',
+        }
+    )
     limit = made.entries["limit"]["l"]
     assert not found and (limit.data.held, limit.data.rate, limit.data.at_once) == (3, "2/s", 1)
     assert limit.amounts == {"rate": 2.0}
     assert [str(limit.at(key)) for key in ("held", "rate", "at_once")] == [
-        "main.toml:3:8", "a.toml:6:8", "a.toml:4:11"]
+        "main.toml:3:8",
+        "a.toml:6:8",
+        "a.toml:4:11",
+    ]
 
 
 @given(st.sampled_from(list(units.KINDS)), st.floats(0.001, 1e9))
@@ -108,25 +127,45 @@
     assert units.write(back, kind) == units.write(units.read(units.write(back, kind), kind), kind)  # type: ignore
 
 
-@pytest.mark.parametrize(("text", "kind", "value"), [
-    ("2 s", "time", 2000.0), ("250 ms", "time", 250.0), ("1.5 min", "time", 9e4), ("2s", "time", 2000.0),
-    ("4/s", "rate", 4.0), ("90/min", "rate", 1.5), ("64 KiB", "size", 65536.0), ("3 MB", "size", 3e6),
-    ("35 %", "share", 0.35), ("0 %", "share", 0.0), ("47 %", "share", 0.47)])
+@pytest.mark.parametrize(
+    ("text", "kind", "value"),
+    [
+        ("2 s", "time", 2000.0),
+        ("250 ms", "time", 250.0),
+        ("1.5 min", "time", 9e4),
+        ("2s", "time", 2000.0),
+        ("4/s", "rate", 4.0),
+        ("90/min", "rate", 1.5),
+        ("64 KiB", "size", 65536.0),
+        ("3 MB", "size", 3e6),
+        ("35 %", "share", 0.35),
+        ("0 %", "share", 0.0),
+        ("47 %", "share", 0.47),
+    ],
+)
 def test_quantities(text: str, kind: str, value: float) -> None:
     assert units.read(text, kind) == pytest.approx(value)
     assert re.match(units.PATTERNS[kind], text)
 
 
 keys = st.sampled_from(["a", "b", "c", '"d e"'])
-scalars = st.one_of(st.integers(-99, 99).map(str), st.sampled_from([
-    '"x"', "true", "1.5", "'y'", '["a", 1]', "{ a = 1, b = 2 }", "1979-05-27"]))
-
-
-@given(st.lists(st.one_of(
-    st.tuples(st.lists(keys, min_size=1, max_size=2).map(".".join), scalars).map(" = ".join),
-    st.lists(keys, min_size=1, max_size=3).map(lambda k: f"[{'.'.join(k)}]"),
-    st.lists(keys, min_size=1, max_size=2).map(lambda k: f"[[{'.'.join(k)}]]"),
-    st.sampled_from(["# note", "", "bad", "x = "])), max_size=8))
+scalars = st.one_of(
+    st.integers(-99, 99).map(str),
+    st.sampled_from(['"x"', "true", "1.5", "'y'", '["a", 1]', "{ a = 1, b = 2 }", "1979-05-27"]),
+)
+
+
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(st.lists(keys, min_size=1, max_size=2).map(".".join), scalars).map(" = ".join),
+            st.lists(keys, min_size=1, max_size=3).map(lambda k: f"[{'.'.join(k)}]"),
+            st.lists(keys, min_size=1, max_size=2).map(lambda k: f"[[{'.'.join(k)}]]"),
+            st.sampled_from(["# note", "", "bad", "x = "]),
+        ),
+        max_size=8,
+    )
+)
 def test_reading_agrees_with_tomllib(lines: list[str]) -> None:
     """What tomllib takes is read to the same values; what it does not take is told, and never a fault."""
     text = "\n".join(lines) + "\n"
@@ -166,8 +205,12 @@
     code, out, err = ashvale("config", "check", lay(tmp_path, BROKEN["one partner in two files"][0]))
     assert code == 1 and "1 errors" in err
     assert out.splitlines() == [
-        "b.toml:2:10: error E0140: partner 'kpn' is defined twice", "    [partner.kpn]", "             ^^^",
-        "    meant: one of the two, or an override", "    a.toml:1:10: the first"]
+        "b.toml:2:10: error E0140: partner 'kpn' is defined twice",
+        "    [partner.kpn]",
+        "             ^^^",
+        "    meant: one of the two, or an override",
+        "    a.toml:1:10: the first",
+    ]
 
 
 def test_tabs_and_wide_letters_keep_the_caret_in_place(tmp_path: Path) -> None:
@@ -175,11 +218,13 @@
     assert out.splitlines()[1:3] == ["    \t\tslot = 5", "    \t\t^^^^"]
     _, out, _ = ashvale("config", "check", lay(tmp_path, BROKEN["wide letters before the mistake"][0]))
     line, caret = out.splitlines()[1:3]
-    assert line[caret.index("^"):caret.rindex("^") + 1] == "rat"
+    assert line[caret.index("^") : caret.rindex("^") + 1] == "rat"
 
 
-@pytest.mark.parametrize(("title", "strict", "code"), [
-    ("pool nobody reaches", False, 0), ("pool nobody reaches", True, 1), ("route to nowhere", False, 1)])
+@pytest.mark.parametrize(
+    ("title", "strict", "code"),
+    [("pool nobody reaches", False, 0), ("pool nobody reaches", True, 1), ("route to nowhere", False, 1)],
+)
 def test_warnings_keep_nothing_from_being_used(tmp_path: Path, title: str, strict: bool, code: int) -> None:
     file = lay(tmp_path, BROKEN[title][0])
     words = ["config", "check", file, "--json", *(["--strict"] if strict else [])]
@@ -223,11 +268,16 @@
     file = lay(tmp_path, RIGHT["tiers and spill"][0])
     code, out, _ = ashvale("config", "what-if", file, "--message", "class=x,id=m1", "--state", "a=shut")
     assert code == 0 and out.splitlines() == [
-        "route 'r', pool 'p'", "tier 1 passed over: a shut", "partner 'b', destination 'b', tier 2",
-        "limits: none"]
+        "route 'r', pool 'p'",
+        "tier 1 passed over: a shut",
+        "partner 'b', destination 'b', tier 2",
+        "limits: none",
+    ]
     file = lay(tmp_path, RIGHT["hours past midnight"][0])
     assert ashvale("config", "what-if", file, "--message", "at=14:00")[:2] == (
-        1, "not 'night': it does not take 14:00\nno route fits\n")
+        1,
+        "not 'night': it does not take 14:00\nno route fits\n",
+    )
     told = json.loads(ashvale("config", "what-if", file, "--message", "at=23:00", "--json")[1])
     assert told["refuse_ms"] == 1000.0
     for words in (["--message", "colour=red"], ["--message", "at=25:00"], ["--state", "a=tired"]):
--- a/tests/test_config_layout.py
+++ b/tests/test_config_layout.py
@@ -25,25 +25,36 @@
 from tests.test_config_language import RIGHT, ROOT, ashvale, lay, read
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("", ""), ("\n\n\n", ""), ("# a\n", "# a\n"), ("a=1", "a = 1\n"),
-    ("a   =   1   # why\n", "a = 1  # why\n"),
-    ("\n\na = 1\n\n\n\nb = 2\n", "a = 1\n\nb = 2\n"), ("a = 1\n[ t ]\nb=2\n", "a = 1\n\n[t]\nb = 2\n"),
-    ("[a]\n# of b\n[b]\n", "[a]\n\n# of b\n[b]\n"), ("[a]\n# of a\n\n[b]\n", "[a]\n# of a\n\n[b]\n"),
-    ("[a] # why\nb=1\n", "[a]  # why\nb = 1\n"), ("[[ a . b ]]\n", "[[a.b]]\n"),
-    ("a = [1,2,\n3]\n", "a = [1, 2, 3]\n"), ("a = [\n1, # one\n2\n]\n", "a = [\n    1,  # one\n    2,\n]\n"),
-    ("a = [\n# none\n]\n", "a = [\n    # none\n]\n"),
-    ("a = {b=1,c={d=2}}\n", "a = { b = 1, c = { d = 2 } }\n"),
-    ("a = {}\nb = []\n", "a = {}\nb = []\n"), ("a.b.\"c d\" = 'x'\n", "a.b.\"c d\" = 'x'\n"),
-    ('a = """\n  x  \n"""\n', 'a = """\n  x  \n"""\n'), ("a = 1\r\nb = 2\r\n", "a = 1\nb = 2\n"),
-    ("a = [[1,2],[3]]\n", "a = [[1, 2], [3]]\n"),
-    ("a = [" + ",".join(['"xxxxxxxxx"'] * 10) + "]\n",
-     "a = [\n" + '    "xxxxxxxxx",\n' * 10 + "]\n")])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("", ""),
+        ("\n\n\n", ""),
+        ("# a\n", "# a\n"),
+        ("a=1", "a = 1\n"),
+        ("a   =   1   # why\n", "a = 1  # why\n"),
+        ("\n\na = 1\n\n\n\nb = 2\n", "a = 1\n\nb = 2\n"),
+        ("a = 1\n[ t ]\nb=2\n", "a = 1\n\n[t]\nb = 2\n"),
+        ("[a]\n# of b\n[b]\n", "[a]\n\n# of b\n[b]\n"),
+        ("[a]\n# of a\n\n[b]\n", "[a]\n# of a\n\n[b]\n"),
+        ("[a] # why\nb=1\n", "[a]  # why\nb = 1\n"),
+        ("[[ a . b ]]\n", "[[a.b]]\n"),
+        ("a = [1,2,\n3]\n", "a = [1, 2, 3]\n"),
+        ("a = [\n1, # one\n2\n]\n", "a = [\n    1,  # one\n    2,\n]\n"),
+        ("a = [\n# none\n]\n", "a = [\n    # none\n]\n"),
+        ("a = {b=1,c={d=2}}\n", "a = { b = 1, c = { d = 2 } }\n"),
+        ("a = {}\nb = []\n", "a = {}\nb = []\n"),
+        ("a.b.\"c d\" = 'x'\n", "a.b.\"c d\" = 'x'\n"),
+        ('a = """\n  x  \n"""\n', 'a = """\n  x  \n"""\n'),
+        ("a = 1\r\nb = 2\r\n", "a = 1\nb = 2\n"),
+        ("a = [[1,2],[3]]\n", "a = [[1, 2], [3]]\n"),
+        ("a = [" + ",".join(['"xxxxxxxxx"'] * 10) + "]\n", "a = [\n" + '    "xxxxxxxxx",\n' * 10 + "]\n"),
+    ],
+)
 def test_layout(text: str, wanted: str) -> None:
     assert layout("x", text.encode()) == wanted
 
 
-
 @pytest.mark.parametrize("title", RIGHT)
 def test_the_corpus_keeps_its_meaning_and_its_layout(title: str) -> None:
     for data in RIGHT[title][0].values():
@@ -54,13 +65,17 @@
 keys = st.sampled_from(["a", "b", "c", '"d e"', "f.g"])
 values = st.recursive(
     st.one_of(st.integers(-9, 9).map(str), st.sampled_from(['"x # y"', "'z'", "true", "1.5", '"""\nm\n"""'])),
-    lambda inner: st.one_of(st.lists(inner, max_size=12).map(lambda v: "[" + ",".join(v) + "]"),
-                            st.lists(inner, max_size=3).map(lambda v: "[\n" + " , # c\n".join(v) + "]")),
-    max_leaves=12)
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=12).map(lambda v: "[" + ",".join(v) + "]"),
+        st.lists(inner, max_size=3).map(lambda v: "[\n" + " , # c\n".join(v) + "]"),
+    ),
+    max_leaves=12,
+)
 lines = st.one_of(
     st.tuples(keys, values, st.sampled_from(["", " # note", "  #x"])).map(lambda t: f"{t[0]}={t[1]}{t[2]}"),
     st.lists(keys, min_size=1, max_size=2).map(lambda k: f"[{' . '.join(k)}]"),
-    st.sampled_from(["[[r]]", "# alone", "", "", "   ", "[[r]] # header"]))
+    st.sampled_from(["[[r]]", "# alone", "", "", "   ", "[[r]] # header"]),
+)
 
 
 @given(st.lists(lines, max_size=14))
@@ -133,15 +148,27 @@
     return made
 
 
-@pytest.mark.parametrize(("old", "new", "told"), [
-    ('"16 s"', '"16000 ms"', []), ("# nothing", "# something", []),
-    ('"16 s"', '"20 s"', ["~ class.usage.deadline: 16000 to 20000"]),
-    ('hostname = "a.example"\n', "", ["~ courier.hostname: a.example to ashvale.localdomain"]),
-    ('[partner.a.endpoint.x]\naddress = "127.0.0.1:25"\n', "", ["- partner a endpoint x"]),
-    ("[limit.l]", "[limit.m]", ["- limit l", "+ limit m"]),
-    ("tier = 2\n", "weight = 2\n", [
-        "~ pool.p.member.b 1.tier: 2 to 1", "~ pool.p.member.b 1.weight: 1 to 2"]),
-    ('classes = ["usage"]\n', 'classes = ["usage"]\nlimit = "l"\n', ["~ route.first.limit: nothing to l"])])
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ('"16 s"', '"16000 ms"', []),
+        ("# nothing", "# something", []),
+        ('"16 s"', '"20 s"', ["~ class.usage.deadline: 16000 to 20000"]),
+        ('hostname = "a.example"\n', "", ["~ courier.hostname: a.example to ashvale.localdomain"]),
+        ('[partner.a.endpoint.x]\naddress = "127.0.0.1:25"\n', "", ["- partner a endpoint x"]),
+        ("[limit.l]", "[limit.m]", ["- limit l", "+ limit m"]),
+        (
+            "tier = 2\n",
+            "weight = 2\n",
+            ["~ pool.p.member.b 1.tier: 2 to 1", "~ pool.p.member.b 1.weight: 1 to 2"],
+        ),
+        (
+            'classes = ["usage"]\n',
+            'classes = ["usage"]\nlimit = "l"\n',
+            ["~ route.first.limit: nothing to l"],
+        ),
+    ],
+)
 def test_differences_are_told_by_meaning(old: str, new: str, told: list[str]) -> None:
     text = "# nothing\n" + FULL
     made = diff(loaded(text), loaded(text.replace(old, new, 1)))
@@ -212,13 +239,22 @@
 SHIPPED = (ROOT / "deploy" / "mail.toml").read_text()
 
 
-@pytest.mark.parametrize("text", [
-    SHIPPED.replace("enabled = false", "enabled = true"),
-    two_servers(2626, "lmtp", limits="slots = 5\nmax_open = 70\nattempts = 3\nkeepalive_ms = 1500.5\n"
-           "sockets = 512\ndisk_mb = 2.5\nmax_wait_ms = 90000\nclient_idle_ms = 1234\nrecipients = 7\n"),
-    SHIPPED.replace("enabled = false", "enabled = true").replace(
-        'name = "kempen-mobiel"\nquota', 'name = "kempen-mobiel"\nshare = 0.47\nquota').replace(
-        "# rate = 4.0", "rate = 4.0")], ids=["shipped", "rehearsal", "shares"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        SHIPPED.replace("enabled = false", "enabled = true"),
+        two_servers(
+            2626,
+            "lmtp",
+            limits="slots = 5\nmax_open = 70\nattempts = 3\nkeepalive_ms = 1500.5\n"
+            "sockets = 512\ndisk_mb = 2.5\nmax_wait_ms = 90000\nclient_idle_ms = 1234\nrecipients = 7\n",
+        ),
+        SHIPPED.replace("enabled = false", "enabled = true")
+        .replace('name = "kempen-mobiel"\nquota', 'name = "kempen-mobiel"\nshare = 0.47\nquota')
+        .replace("# rate = 4.0", "rate = 4.0"),
+    ],
+    ids=["shipped", "rehearsal", "shares"],
+)
 def test_the_older_file_is_converted_without_loss(tmp_path: Path, text: str) -> None:
     file = converted(tmp_path, text)
     assert config.mail(mailset.read_set(file).root) == config.mail(tomllib.loads(text))
@@ -226,23 +262,30 @@
 
 def test_a_file_that_is_off_stays_off_and_what_a_set_cannot_say_is_told(tmp_path: Path) -> None:
     assert config.mail(mailset.read_set(converted(tmp_path, SHIPPED)).root) is None
-    more = ('[[tenant]]\nname = "b"\n[[sender]]\nmatch = "b@*"\ntenant = "b"\n'
-            '[[sender]]\nmatch = "c@*"\ntenant = "kempen-mobiel"\n[[recipient]]')
+    more = (
+        '[[tenant]]\nname = "b"\n[[sender]]\nmatch = "b@*"\ntenant = "b"\n'
+        '[[sender]]\nmatch = "c@*"\ntenant = "kempen-mobiel"\n[[recipient]]'
+    )
     mixed = SHIPPED.replace("[[recipient]]", more, 1)
     (tmp_path / "mixed.toml").write_text(mixed)
     code, out, err = ashvale("config", "convert", tmp_path / "mixed.toml")
     assert code == 2 and not out and "stand in two places" in err
 
 
-@pytest.mark.parametrize(("old", "new", "told"), [
-    ('deadline = "16 s"', "deadline = 16", "E0130"),
-    ('to = "partner partner-a"', 'to = "partner b"', "E0145"),
-    ("[policy.mail]", "[pool.p]\nmember = []\n[policy.mail]", "E0162"),
-    ("[policy.mail]", "[network.n]\nlimit = \"l\"\n[limit.l]\nheld = 5\nat = 2\n[policy.mail]", "E0121"),
-    ('as = "usage-record"\n', "", "no key 'as'"),
-    ('repeat = "never"', 'repeat = "keyed"\nwindow = "6 s"', "keep no keys")])
-def test_a_set_that_the_daemon_cannot_use_is_told_by_its_place(tmp_path: Path, old: str, new: str,
-                                                               told: str) -> None:
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ('deadline = "16 s"', "deadline = 16", "E0130"),
+        ('to = "partner partner-a"', 'to = "partner b"', "E0145"),
+        ("[policy.mail]", "[pool.p]\nmember = []\n[policy.mail]", "E0162"),
+        ("[policy.mail]", '[network.n]\nlimit = "l"\n[limit.l]\nheld = 5\nat = 2\n[policy.mail]', "E0121"),
+        ('as = "usage-record"\n', "", "no key 'as'"),
+        ('repeat = "never"', 'repeat = "keyed"\nwindow = "6 s"', "keep no keys"),
+    ],
+)
+def test_a_set_that_the_daemon_cannot_use_is_told_by_its_place(
+    tmp_path: Path, old: str, new: str, told: str
+) -> None:
     file = converted(tmp_path, SHIPPED.replace("enabled = false", "enabled = true"))
     text = file.read_text()
     assert old in text
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,8 +28,10 @@
 from tests.test_main import Program
 
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
-ONCE = [{"name": "usage-record", "repeat": "side_effect", "objective_ms": 2000, "give_up_ms": 16000},
-        {"name": "rate-update", "repeat": "pure", "objective_ms": 2000, "give_up_ms": 28000}]
+ONCE = [
+    {"name": "usage-record", "repeat": "side_effect", "objective_ms": 2000, "give_up_ms": 16000},
+    {"name": "rate-update", "repeat": "pure", "objective_ms": 2000, "give_up_ms": 28000},
+]
 
 
 # Service clients' connections, and the end of the process
@@ -155,9 +157,14 @@
         s.until(lambda: not server.listener.open, loops.LINGER_MS + 2000.0)
 
 
-@pytest.mark.parametrize("data", [
-    b"gibberish\r\n\r\n" + b"x" * 300_000,
-    request("rate-update", "m1", Content_Length="99999999") + b"x" * 300_000], ids=["malformed", "over-long"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"gibberish\r\n\r\n" + b"x" * 300_000,
+        request("rate-update", "m1", Content_Length="99999999") + b"x" * 300_000,
+    ],
+    ids=["malformed", "over-long"],
+)
 def test_an_answer_outlives_what_its_client_still_sends(data: bytes) -> None:
     """A close over unread bytes resets the connection, and the client may not have read the answer yet."""
     with scene() as s:
@@ -251,15 +258,18 @@
 
 
 def test_a_kill_while_a_connection_comes_up_leaves_its_message_untried(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """It was decided to send it, and nothing was written: the next life tries it, whatever its class."""
-    with (scene(categories=ONCE, limits={"connect_timeout_ms": 9000.0}) as s,
-          held_connections(monkeypatch) as doors):
+    with (
+        scene(categories=ONCE, limits={"connect_timeout_ms": 9000.0}) as s,
+        held_connections(monkeypatch) as doors,
+    ):
         endpoint = s.endpoint()
         s.start()
         s.hand_in("usage-record")
         s.until(lambda: len(doors) == 1)
-        entry, = s.courier.exchange.journal.entries.values()
+        (entry,) = s.courier.exchange.journal.entries.values()
         assert entry.attempts == 0 and entry.sends == 1
         s.again()
         s.until(lambda: len(doors) == 2)
@@ -269,8 +279,9 @@
 
 
 @pytest.mark.parametrize(("categories", "calls"), [(ONCE, 1), ([], 2)])
-def test_a_kill_after_a_call_was_written_leaves_one_that_may_have_run(categories: list[dict[str, object]],
-                                                                     calls: int) -> None:
+def test_a_kill_after_a_call_was_written_leaves_one_that_may_have_run(
+    categories: list[dict[str, object]], calls: int
+) -> None:
     with scene(**({"categories": categories} if categories else {})) as s:
         endpoint = s.endpoint(STALL)
         s.start()
@@ -287,7 +298,7 @@
 
     def noted(self: Connection, data: bytes, until: float) -> Coroutine[None]:
         if data.startswith(b"POST /hook"):
-            entry, = s.courier.exchange.journal.entries.values()
+            (entry,) = s.courier.exchange.journal.entries.values()
             began.append((entry.attempts, entry.out_since))
         return usual(self, data, until)
 
@@ -298,7 +309,7 @@
         s.start()
         s.hand_in()
         s.until(lambda: s.courier.exchange.idle)
-    (attempts, since), = began
+    ((attempts, since),) = began
     assert attempts == 1 and since is not None
 
 
@@ -315,41 +326,58 @@
     journal.started([entry], 5000.0, 0)
     journal.outcome(entry, True)
     journal.close()
-    again, = Journal(tmp_path, 400_000).entries.values()
+    (again,) = Journal(tmp_path, 400_000).entries.values()
     assert (again.ran_at, again.attempts) == (1000.0, 2)
 
 
-@pytest.mark.parametrize(("body", "ends"), [
-    (b"a delivered\r\nb refused\r\n", {"a": "delivered", "b": "refused"}),
-    (b"a failed\r\na refused\r\n", {}),               # it contradicts itself: nothing is proved
-    (b"a refused\r\na failed\r\na refused\r\n", {}),
-    (b"a refused\r\na refused\r\n", {"a": "refused"}),
-    (b"a\r\na refused\r\n", {}), (b"a refused maybe\r\n", {}),
-    (b"a refused\r\na refused maybe\r\n", {}), (b"", {}), (b"\xff\xfe", {})])
+@pytest.mark.parametrize(
+    ("body", "ends"),
+    [
+        (b"a delivered\r\nb refused\r\n", {"a": "delivered", "b": "refused"}),
+        (b"a failed\r\na refused\r\n", {}),  # it contradicts itself: nothing is proved
+        (b"a refused\r\na failed\r\na refused\r\n", {}),
+        (b"a refused\r\na refused\r\n", {"a": "refused"}),
+        (b"a\r\na refused\r\n", {}),
+        (b"a refused maybe\r\n", {}),
+        (b"a refused\r\na refused maybe\r\n", {}),
+        (b"", {}),
+        (b"\xff\xfe", {}),
+    ],
+)
 def test_what_a_batchs_answer_says_of_each_message(body: bytes, ends: dict[str, str]) -> None:
     assert platform.decode_batch(body) == ends
 
 
-@pytest.mark.parametrize(("body", "again"), [
-    (b"m1 failed\r\nm1 refused\r\nm2 delivered\r\n", []), (b"m2 delivered\r\n", []),
-    (b"m1 refused\r\nm2 delivered\r\n", ["m1"])])
+@pytest.mark.parametrize(
+    ("body", "again"),
+    [
+        (b"m1 failed\r\nm1 refused\r\nm2 delivered\r\n", []),
+        (b"m2 delivered\r\n", []),
+        (b"m1 refused\r\nm2 delivered\r\n", ["m1"]),
+    ],
+)
 def test_a_message_that_its_batchs_answer_names_twice_or_not_at_all_may_have_run(
-        body: bytes, again: list[str]) -> None:
+    body: bytes, again: list[str]
+) -> None:
     with scene(categories=ONCE) as s:
         hub = s.endpoint(answer(200, body), kind="hub")
         s.start()
         server, numbers = s.courier.server, ("m1", "m2")
         assert server is not None
         for number in numbers:  # both in one turn of the module
-            s.courier.exchange.take(platform.Command(
-                number, "platform", "usage-record", "1", "home", "", s.loop.now() + 9000.0, b"x"))
+            s.courier.exchange.take(
+                platform.Command(
+                    number, "platform", "usage-record", "1", "home", "", s.loop.now() + 9000.0, b"x"
+                )
+            )
         s.until(lambda: s.courier.exchange.idle)
         assert hub.calls[0].path == "/hook/batch"
         assert [call.headers["request-id"] for call in hub.calls[1:]] == again
 
 
-@pytest.mark.parametrize(("window", "by"), [
-    (6000.0, 5700.0), (1200.0, 1050.0), (400.0, 250.0), (100.0, -50.0)])
+@pytest.mark.parametrize(
+    ("window", "by"), [(6000.0, 5700.0), (1200.0, 1050.0), (400.0, 250.0), (100.0, -50.0)]
+)
 def test_a_repeat_leaves_a_part_of_its_window_to_its_way(window: float, by: float) -> None:
     """It counts when it arrives, and the way takes as long in a short window as in a long one."""
     keyed = api.MessageClass("keyed", api.Effect.KEYED, 2000.0, 12000.0, 1.0, 0.4, "all", window)
@@ -362,7 +390,8 @@
 
 @pytest.mark.parametrize("change", ["drains", "goes", "is left out", "is elsewhere", "is banned"])
 def test_nothing_is_written_to_an_endpoint_that_left_while_its_connection_came_up(
-        change: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    change: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     with scene(limits={"connect_timeout_ms": 9000.0}) as s, held_connections(monkeypatch) as doors:
         leaving = s.endpoint()
         s.start()
@@ -397,7 +426,7 @@
         s.start()
         s.hand_in()
         s.until(lambda: bool(s.courier.exchange._silent))
-        told, = s.courier.exchange._silent.values()
+        (told,) = s.courier.exchange._silent.values()
         assert s.courier.exchange._out and told[1] - s.loop.now() > 800.0  # the execution is not over yet
         s.hand_in()
         s.until(lambda: s.courier.exchange.idle)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -13,22 +13,34 @@
 CLASS = {"objective_ms": 900, "give_up_ms": 6000, "worth": 2.0, "late_worth": 0.2}
 KEYED = {"repeat": "token", "key_scope": "all"}
 FIRST: dict[str, Any] = {
-    "categories": [{"name": "usage-record", **CLASS, **KEYED, "dedup_window_ms": 2500},
-                   {"name": "rate-update", **CLASS, "repeat": "pure"}]}
+    "categories": [
+        {"name": "usage-record", **CLASS, **KEYED, "dedup_window_ms": 2500},
+        {"name": "rate-update", **CLASS, "repeat": "pure"},
+    ]
+}
 SECOND: dict[str, Any] = {
-    "categories": [{"name": "progress-sync", **CLASS, "repeat": "pure"},
-                   {"name": "licence-orders", **CLASS, "repeat": "side_effect", "keep_order": True}],
-    "models": ["hub"], "family_info": {"max_calls": 6, "per_call": [1], "routes_apart": [False]},
-    "limits": {"most_tries": 6, "probing": True}, "report": {"source": "inline", "fields": ["x0", "x1"]},
-    "contract": {"order_settle_ms": 200.0, "drain_grace_ms": 1000.0}}
+    "categories": [
+        {"name": "progress-sync", **CLASS, "repeat": "pure"},
+        {"name": "licence-orders", **CLASS, "repeat": "side_effect", "keep_order": True},
+    ],
+    "models": ["hub"],
+    "family_info": {"max_calls": 6, "per_call": [1], "routes_apart": [False]},
+    "limits": {"most_tries": 6, "probing": True},
+    "report": {"source": "inline", "fields": ["x0", "x1"]},
+    "contract": {"order_settle_ms": 200.0, "drain_grace_ms": 1000.0},
+}
 NEITHER: dict[str, Any] = {
-    "categories": [{"name": "a", **CLASS, "repeat": "side_effect"},
-                   {"name": "b.2", **CLASS, **KEYED, "key_scope": "zone", "dedup_window_ms": 800},
-                   {"name": "c_3", **CLASS, "repeat": "pure", "keep_order": True}],
-    "models": ["direct", "hub"], "family_info": {
-        "max_calls": 3, "per_call": [1, 3], "routes_apart": [True, False], "fades": "halving"},
+    "categories": [
+        {"name": "a", **CLASS, "repeat": "side_effect"},
+        {"name": "b.2", **CLASS, **KEYED, "key_scope": "zone", "dedup_window_ms": 800},
+        {"name": "c_3", **CLASS, "repeat": "pure", "keep_order": True},
+    ],
+    "models": ["direct", "hub"],
+    "family_info": {"max_calls": 3, "per_call": [1, 3], "routes_apart": [True, False], "fades": "halving"},
     "limits": {"most_tries": 3, "max_open": 20, "retry_after": False},
-    "contract": {"order_settle_ms": 50.0, "drain_grace_ms": 0.0}, "tenants": []}
+    "contract": {"order_settle_ms": 50.0, "drain_grace_ms": 0.0},
+    "tenants": [],
+}
 
 
 def of(call: Call) -> list[str]:
@@ -53,8 +65,10 @@
             s.until(lambda: sum(len(e.calls) for e in endpoints) >= 3)
             s.again()
         s.until(lambda: s.courier.exchange.idle)
-        calls = sorted((call for e in s.endpoints for call in e.calls if call.path.startswith("/hook")),
-                       key=lambda call: call.at)
+        calls = sorted(
+            (call for e in s.endpoints for call in e.calls if call.path.startswith("/hook")),
+            key=lambda call: call.at,
+        )
         tries = defaultdict[str, list[float]](list)
         for call in calls:
             for id in of(call):
@@ -75,7 +89,10 @@
                 assert at[-1] - spoilt[f"{number}"] < cls["dedup_window_ms"], number
         for key in (0, 1):  # the first calls of a key's messages come in the order of their handing in
             for parity in (0, 1):
-                kept = [n for n, name in enumerate(names) if classes[name].get("keep_order")
-                        and n % 2 == key and n % 2 == parity and tries[f"{n}"]]
+                kept = [
+                    n
+                    for n, name in enumerate(names)
+                    if classes[name].get("keep_order") and n % 2 == key and n % 2 == parity and tries[f"{n}"]
+                ]
                 assert kept == sorted(kept, key=lambda n: tries[f"{n}"][0])
         assert len(s.discovery.notices) == len(ended)  # one end each
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -163,12 +163,16 @@
         assert door.held("home", 0.0) == door.held("of-one", 0.0) == 0
 
 
-@pytest.mark.parametrize(("old", "new", "told"), [
-    ("held = 2", "held = 0", "E0125"),
-    ('limit = "of-one"\n', 'limit = "of-one"\nrate = "5/s"\n', "rate"),
-    ("[limit.home]", "[policy.p]\nattempts = 3\n[limit.home]", "attempts"),
-    ('refuse = "90 s"', "refuse = 90", "E0130"),
-    ("[limit.home]", "[courier]\nslots = 3\n[limit.home]", "slots")])
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ("held = 2", "held = 0", "E0125"),
+        ('limit = "of-one"\n', 'limit = "of-one"\nrate = "5/s"\n', "rate"),
+        ("[limit.home]", "[policy.p]\nattempts = 3\n[limit.home]", "attempts"),
+        ('refuse = "90 s"', "refuse = 90", "E0130"),
+        ("[limit.home]", "[courier]\nslots = 3\n[limit.home]", "slots"),
+    ],
+)
 def test_what_the_door_does_not_serve_is_refused_by_name(old: str, new: str, told: str) -> None:
     with scene() as s:
         own_set(s, SET.replace(old, new, 1))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -51,8 +51,9 @@
 @pytest.fixture
 def notes(tmp_path: Path) -> Iterator[Notes]:
     loop = Loop()
-    settings = api.Settings(classes=(SAFE, KEYED), kinds=(api.Kind("hub", per_call=3), api.Kind("mail")),
-                            max_open=6, tick_ms=2.0)
+    settings = api.Settings(
+        classes=(SAFE, KEYED), kinds=(api.Kind("hub", per_call=3), api.Kind("mail")), max_open=6, tick_ms=2.0
+    )
     exchange = Exchange(loop, settings, 1, Journal(tmp_path, 400_000))
     made = Notes(exchange)
     exchange.fronts["f"], exchange.carriers["platform"], exchange.carriers["mail"] = made, made, made
@@ -103,8 +104,9 @@
 
 def test_one_carriers_whole_list_says_nothing_of_anothers(notes: Notes) -> None:
     """Guards mail's destinations against discovery, whose whole list does not name them."""
-    notes.exchange.instances_known(api.ListKind.DELTA, [
-        Instance("m", "partner", ("127.0.0.1", 2), "mail", carrier="mail")])
+    notes.exchange.instances_known(
+        api.ListKind.DELTA, [Instance("m", "partner", ("127.0.0.1", 2), "mail", carrier="mail")]
+    )
     for _ in range(3):
         notes.exchange.instances_known(api.ListKind.FULL, [HUB])
         rest(notes, 5.0)
@@ -116,7 +118,8 @@
 def test_instances_that_lists_leave_out_are_forgotten(notes: Notes) -> None:
     for number in range(20):
         notes.exchange.instances_known(
-            api.ListKind.FULL, [Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub")])
+            api.ListKind.FULL, [Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub")]
+        )
         rest(notes, 3.0)
     assert len(notes.exchange.instances) <= 2
 
@@ -137,8 +140,10 @@
     closed = list[str]()
     notes.close_idle = closed.append  # type: ignore[method-assign]
     for number in range(20):
-        told = [Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub"),
-                Instance(f"i{number - 1}", "1", ("127.0.0.1", 1), "hub", gone=True)]
+        told = [
+            Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub"),
+            Instance(f"i{number - 1}", "1", ("127.0.0.1", 1), "hub", gone=True),
+        ]
         notes.exchange.instances_known(api.ListKind.DELTA, told)
         if number == 5:  # one that is back before the Controller has heard that it was gone
             notes.exchange.instances_known(api.ListKind.DELTA, [replace(told[1], gone=False)])
@@ -147,7 +152,8 @@
 
 
 def test_a_fault_over_one_event_leaves_the_others_alone(
-        notes: Notes, monkeypatch: pytest.MonkeyPatch) -> None:
+    notes: Notes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     real = notes.exchange.controller.handle
 
     def handle(event: api.Event, now: float) -> list[api.Action]:
@@ -164,7 +170,8 @@
 
 
 def test_an_execution_that_cannot_be_journalled_does_not_begin(
-        notes: Notes, monkeypatch: pytest.MonkeyPatch) -> None:
+    notes: Notes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def full(*_: object) -> None:
         raise Full("no room")
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,32 +56,52 @@
 # Planted mistakes
 
 
-def votes_twice(self: Record, sender: str, m: Vote, now: float, out: Out,
-                real: Any = Record._asked_to_vote) -> None:
+def votes_twice(
+    self: Record, sender: str, m: Vote, now: float, out: Out, real: Any = Record._asked_to_vote
+) -> None:
     if not m.pre and m.term >= self.term:
         self.vote = ""
     real(self, sender, m, now, out)
 
 
 def takes_what_does_not_fit(self: Record, m: Append, out: Out, real: Any = Record._merge) -> Any:
-    return real(self, Append(m.term, m.prev_index, self.term_at(m.prev_index) or 0, m.entries, m.commit,
-                             m.sent), out)
+    return real(
+        self, Append(m.term, m.prev_index, self.term_at(m.prev_index) or 0, m.entries, m.commit, m.sent), out
+    )
 
 
 MUTANTS: dict[str, tuple[str, Callable[[pytest.MonkeyPatch], None]]] = {
     "two votes in a term": ("two leaders", lambda m: m.setattr(Record, "_asked_to_vote", votes_twice)),
     "decided by one": ("", lambda m: m.setattr("ashvale.fleet.record.majority", lambda voters: 1)),
-    "lease given away at once": ("lease held twice", lambda m: m.setattr(
-        Agent, "_lapsed", lambda self, lease, now: (
-            self.state.leases[lease].number if lease in self.state.leases else 0))),
-    "lease over a new leader": ("lease held twice", lambda m: m.setattr(
-        Agent, "_lapsed", lambda self, lease, now: (
-            h.number if (h := self.state.leases.get(lease)) is not None
-            and now - self.renewed.get(lease, 0.0) > h.ttl else 0))),
-    "a lost voter votes": ("leads though its folder was lost", lambda m: m.setattr(
-        Agent, "_unconfirmed", lambda self: not self.record.may_vote)),
-    "told before it is decided": ("", lambda m: m.setattr(
-        Record, "_advance", lambda self, out: self._decide(self.last, out))),
+    "lease given away at once": (
+        "lease held twice",
+        lambda m: m.setattr(
+            Agent,
+            "_lapsed",
+            lambda self, lease, now: self.state.leases[lease].number if lease in self.state.leases else 0,
+        ),
+    ),
+    "lease over a new leader": (
+        "lease held twice",
+        lambda m: m.setattr(
+            Agent,
+            "_lapsed",
+            lambda self, lease, now: (
+                h.number
+                if (h := self.state.leases.get(lease)) is not None
+                and now - self.renewed.get(lease, 0.0) > h.ttl
+                else 0
+            ),
+        ),
+    ),
+    "a lost voter votes": (
+        "leads though its folder was lost",
+        lambda m: m.setattr(Agent, "_unconfirmed", lambda self: not self.record.may_vote),
+    ),
+    "told before it is decided": (
+        "",
+        lambda m: m.setattr(Record, "_advance", lambda self, out: self._decide(self.last, out)),
+    ),
     "a log that does not fit": ("", lambda m: m.setattr(Record, "_merge", takes_what_does_not_fit)),
 }
 
@@ -113,15 +133,15 @@
     one = record()
     one.may_vote = True
     for now, granted in ((500.0, False), (1500.0, True)):
-        (_, answer), = one.handle("b", Vote(5, 0, 0, False), now).messages
+        ((_, answer),) = one.handle("b", Vote(5, 0, 0, False), now).messages
         assert (answer.granted, one.term) == (granted, 5 if granted else 0)  # type: ignore[union-attr]
-    (_, answer), = one.handle("c", Vote(5, 9, 4, False), 3000.0).messages
+    ((_, answer),) = one.handle("c", Vote(5, 9, 4, False), 3000.0).messages
     assert not answer.granted  # type: ignore[union-attr]  # its vote of this term is given
 
 
 def test_a_voter_that_nobody_has_confirmed_neither_asks_nor_votes() -> None:
     one = record()
-    (_, answer), = one.handle("b", Vote(5, 0, 0, False), 5000.0).messages
+    ((_, answer),) = one.handle("b", Vote(5, 0, 0, False), 5000.0).messages
     assert not answer.granted and not one.tick(99_000.0).messages  # type: ignore[union-attr]
 
 
@@ -158,10 +178,24 @@
 
 def test_commands_have_one_effect_and_leases_one_holder() -> None:
     state = State()
-    told = [state.apply(n, encode(command))[1] for n, command in enumerate([
-        Acquire("1", "l", "a", 100.0), Acquire("2", "l", "b", 100.0), Acquire("1", "l", "a", 100.0),
-        Release("3", "l", "b", 1), Acquire("4", "l", "b", 100.0, over=1), Release("5", "l", "b", 5),
-        Put("6", "k", "x", 0), Put("7", "k", "y", 0), Put("8", "k", "y", 7), Put("9", "k", "", 9)], 1)]
+    told = [
+        state.apply(n, encode(command))[1]
+        for n, command in enumerate(
+            [
+                Acquire("1", "l", "a", 100.0),
+                Acquire("2", "l", "b", 100.0),
+                Acquire("1", "l", "a", 100.0),
+                Release("3", "l", "b", 1),
+                Acquire("4", "l", "b", 100.0, over=1),
+                Release("5", "l", "b", 5),
+                Put("6", "k", "x", 0),
+                Put("7", "k", "y", 0),
+                Put("8", "k", "y", 7),
+                Put("9", "k", "", 9),
+            ],
+            1,
+        )
+    ]
     assert [r.ok for r in told] == [True, False, True, False, True, True, True, False, True, True]
     assert told[2].number == 1 and not state.leases and not state.keys
     assert State(state.pack()).pack() == state.pack() and state.applied == 10
@@ -203,7 +237,7 @@
     one = Agent(setup, Saved(), Kept(), "life 1", Random(1), 0.0)
     sends = one.receive(Envelope("b", 1, "life 2", False, (), agents.Ping()), 10.0).sends
     assert any(isinstance(body, agents.Ack) for _, body in sends)
-    (peer, body), = one.receive(Envelope("b", 1, "life 3", False, (), agents.Ping()), 20.0).sends
+    ((peer, body),) = one.receive(Envelope("b", 1, "life 3", False, (), agents.Ping()), 20.0).sends
     assert peer == "b" and isinstance(body, Stale)
     one.receive(Envelope("c", 1, "life 4", False, (), Stale(1, "other", 50.0)), 30.0)
     assert one.aside_until and not one.record.may_vote and not one.tick(40.0).sends
@@ -293,24 +327,29 @@
 
 # The file
 
-PEERS = "".join(f'[[fleet.peer]]\nname = "{n}"\naddress = "127.0.0.1:70{i}"\nvotes = true\n'
-                for i, n in enumerate(("n0", "b", "c"), 10))
+PEERS = "".join(
+    f'[[fleet.peer]]\nname = "{n}"\naddress = "127.0.0.1:70{i}"\nvotes = true\n'
+    for i, n in enumerate(("n0", "b", "c"), 10)
+)
 HEAD = '[fleet]\nname = "west"\n'
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    (HEAD + PEERS.replace('"c"', '"b"'), "peer 3: key 'name'"),
-    (HEAD + PEERS.replace("7012", "7011"), "peer 3: key 'address' is that of 'b'"),
-    (HEAD + PEERS.replace("votes = true", "votes = false"), "no majority is possible"),
-    (HEAD + PEERS.replace('"n0"', '"d"'), "key 'courier' is 'n0', which no peer is called"),
-    (HEAD + 'listen = "127.0.0.1:4321"\n' + PEERS, "key 'listen' is the address of listen already"),
-    (HEAD + 'election = "300 ms"\n' + PEERS, "key 'election' is below 3 times 'beat'"),
-    (HEAD + 'suspect = "600 ms"\n' + PEERS, "key 'suspect' is below 2 times 'every'"),
-    (HEAD + 'drift = "50 %"\n' + PEERS, "key 'drift' is above"),
-    (HEAD + 'quorum = 2\n' + PEERS, "unknown key 'quorum'"),
-    (HEAD + PEERS.replace("127.0.0.1:7012", "nowhere"), "peer 3: key 'address'"),
-    (PEERS, "key 'name' is missing"),
-])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (HEAD + PEERS.replace('"c"', '"b"'), "peer 3: key 'name'"),
+        (HEAD + PEERS.replace("7012", "7011"), "peer 3: key 'address' is that of 'b'"),
+        (HEAD + PEERS.replace("votes = true", "votes = false"), "no majority is possible"),
+        (HEAD + PEERS.replace('"n0"', '"d"'), "key 'courier' is 'n0', which no peer is called"),
+        (HEAD + 'listen = "127.0.0.1:4321"\n' + PEERS, "key 'listen' is the address of listen already"),
+        (HEAD + 'election = "300 ms"\n' + PEERS, "key 'election' is below 3 times 'beat'"),
+        (HEAD + 'suspect = "600 ms"\n' + PEERS, "key 'suspect' is below 2 times 'every'"),
+        (HEAD + 'drift = "50 %"\n' + PEERS, "key 'drift' is above"),
+        (HEAD + "quorum = 2\n" + PEERS, "unknown key 'quorum'"),
+        (HEAD + PEERS.replace("127.0.0.1:7012", "nowhere"), "peer 3: key 'address'"),
+        (PEERS, "key 'name' is missing"),
+    ],
+)
 def test_a_fleet_that_contradicts_itself_is_refused_by_name(tmp_path: Path, text: str, told: str) -> None:
     with scene() as s:
         file = tmp_path / "own.toml"
@@ -323,7 +362,11 @@
 
 
 def test_without_a_fleet_nothing_of_it_is_loaded() -> None:
-    code = ("import sys, ashvale.__main__, ashvale.courier\n"
-            "print([m for m in sys.modules if 'fleet' in m or m in ('msgspec', 'xxhash')])")
-    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True,
-                          check=True).stdout == "[]\n"
+    code = (
+        "import sys, ashvale.__main__, ashvale.courier\n"
+        "print([m for m in sys.modules if 'fleet' in m or m in ('msgspec', 'xxhash')])"
+    )
+    assert (
+        subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+        == "[]\n"
+    )
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -16,7 +16,7 @@
 
 
 def put(state: tuple[int, ...], at: int, value: int) -> tuple[int, ...]:
-    return (*state[:at], value, *state[at + 1:])
+    return (*state[:at], value, *state[at + 1 :])
 
 
 def votes(mistake: str) -> Protocol:
@@ -24,6 +24,7 @@
 
     Fields: term and vote of each (0: none), then a leader's number for each term (0: none, 9: two of them).
     """
+
     def steps(s: tuple[int, ...]) -> list[tuple[str, tuple[int, ...]]]:
         found = []
         for i in range(VOTERS):
@@ -47,8 +48,14 @@
         return found
 
     names = tuple(f"{what}{i}" for i in range(VOTERS) for what in ("term", "vote")) + ("first", "second")
-    return Protocol(name="votes", candidate=False, fields=names, initial=(0,) * len(names), transitions=steps,
-                    invariants={"one leader a term": lambda d: d["first"] != 9 and d["second"] != 9})
+    return Protocol(
+        name="votes",
+        candidate=False,
+        fields=names,
+        initial=(0,) * len(names),
+        transitions=steps,
+        invariants={"one leader a term": lambda d: d["first"] != 9 and d["second"] != 9},
+    )
 
 
 def leases(mistake: str) -> Protocol:
@@ -57,6 +64,7 @@
     Fields: now; until when the holder may use it; when its request under way was sent and, once a leader has
     renewed it, its answer (-1: none); what the leader knows: renewed at, led since; until when the other may.
     """
+
     def steps(s: tuple[int, ...]) -> list[tuple[str, tuple[int, ...]]]:
         now, until, asked, answer, renewed, led, other = s
         found = []
@@ -72,7 +80,8 @@
         if led < 4:  # another leads, and knows of no renewal before it: Record._lead
             found.append(("another leads", put(put(s, 4, 0), 5, now)))
         since = {"forgets the change of leader": renewed, "gives away at once": -TTL - 1}.get(
-            mistake, max(renewed, led))
+            mistake, max(renewed, led)
+        )
         if other == 0 and now - since > TTL:  # Agent._lapsed, then State._carry_out
             found.append(("given to the other", put(s, 6, now + TTL)))
         if mistake == "used after release" and other == 0:  # Agent.request for Release
@@ -80,9 +89,13 @@
         return found
 
     return Protocol(
-        name="leases", candidate=False, fields=("now", "until", "asked", "answer", "renewed", "led", "other"),
-        initial=(0, TTL, -1, -1, 0, 0, 0), transitions=steps,
-        invariants={"one holder": lambda d: not (d["now"] < d["until"] and d["now"] < d["other"])})
+        name="leases",
+        candidate=False,
+        fields=("now", "until", "asked", "answer", "renewed", "led", "other"),
+        initial=(0, TTL, -1, -1, 0, 0, 0),
+        transitions=steps,
+        invariants={"one holder": lambda d: not (d["now"] < d["until"] and d["now"] < d["other"])},
+    )
 
 
 def permits(mistake: str) -> Protocol:
@@ -91,11 +104,12 @@
     Fields of each: the permit's number in the record, the number by which it is out, the latest that it came
     back from, and its word of that, which may come late and twice. Then the next number.
     """
+
     def steps(s: tuple[int, ...]) -> list[tuple[str, tuple[int, ...]]]:
         found, number = [], s[8]
         for i in range(2):
             at = 4 * i
-            permit, out, back, word = s[at:at + 4]
+            permit, out, back, word = s[at : at + 4]
             if number < 5 and (permit or not s[4 - at]):  # State._ask, as the record stands
                 found.append((f"{i} granted", put(put(s, at, number), 8, number + 1)))
             found.append((f"{i} learns", put(s, at + 1, permit if permit > back else 0)))  # Agent.out
@@ -112,8 +126,14 @@
         return found
 
     names = tuple(f"{what}{i}" for i in range(2) for what in ("permit", "out", "back", "word"))
-    return Protocol(name="permits", candidate=False, fields=(*names, "next"), initial=(0,) * 8 + (1,),
-                    transitions=steps, invariants={"one out": lambda d: not (d["out0"] and d["out1"])})
+    return Protocol(
+        name="permits",
+        candidate=False,
+        fields=(*names, "next"),
+        initial=(0,) * 8 + (1,),
+        transitions=steps,
+        invariants={"one out": lambda d: not (d["out0"] and d["out1"])},
+    )
 
 
 def holds(model: Protocol) -> tuple[bool, Any]:
@@ -127,12 +147,23 @@
     assert holds(model(""))[0]
 
 
-@pytest.mark.parametrize(("model", "mistake"), [
-    (votes, "votes twice"), (votes, "vote not saved"), (votes, "folder lost and votes"),
-    (votes, "no majority"),
-    (leases, "counts from the answer"), (leases, "forgets the change of leader"),
-    (leases, "gives away at once"), (leases, "used after release"), (permits, "ends by time"),
-    (permits, "a restart ends it"), (permits, "any word ends it"), (permits, "a minority grants")])
+@pytest.mark.parametrize(
+    ("model", "mistake"),
+    [
+        (votes, "votes twice"),
+        (votes, "vote not saved"),
+        (votes, "folder lost and votes"),
+        (votes, "no majority"),
+        (leases, "counts from the answer"),
+        (leases, "forgets the change of leader"),
+        (leases, "gives away at once"),
+        (leases, "used after release"),
+        (permits, "ends by time"),
+        (permits, "a restart ends it"),
+        (permits, "any word ends it"),
+        (permits, "a minority grants"),
+    ],
+)
 def test_a_planted_mistake_has_a_shortest_way_to_it(model: Any, mistake: str) -> None:
     ok, way = holds(model(mistake))
     assert not ok and len(way) >= 2
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -112,8 +112,13 @@
         f.decide("c4", "k", "1")  # one that does not vote
         f.until(lambda: f.all_hold("k", "1"))
         for path, body, told in [
-                ("/fleet/1/east", b"x", 409), ("/fleet/2/west", b"x", 409), ("/fleet/1/west", b"x" * 40, 400),
-                ("/other", b"", 404), ("/fleet/1/west/none", b"", 404), ("/fleet/1/west/put", b"{}", 400)]:
+            ("/fleet/1/east", b"x", 409),
+            ("/fleet/2/west", b"x", 409),
+            ("/fleet/1/west", b"x" * 40, 400),
+            ("/other", b"", 404),
+            ("/fleet/1/west/none", b"", 404),
+            ("/fleet/1/west/put", b"{}", 400),
+        ]:
             head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode()
             assert int(f.ask(f.ports["c0"], head + body).split(b" ", 2)[1]) == told, path
         large = f"POST /fleet/1/west HTTP/1.1\r\nHost: x\r\nContent-Length: {1 << 30}\r\n\r\n".encode()
@@ -132,7 +137,6 @@
             f.deliver("c4")
 
 
-
 def test_links_that_trickle_jitter_end_at_a_byte_or_answer_nothing_hold_no_decision_up_for_ever() -> None:
     with fleet(3, 3) as f:
         f.leader()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -80,7 +80,8 @@
 
 
 def test_rewriting_keeps_old_and_new_file_within_the_room(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards the disk limit, at which the courier would be taken for crashed; and counts across a rewrite."""
     seen = [0]
     real = journal.os.replace
@@ -104,7 +105,7 @@
             kept.started([stays], float(number + 1), 0)
             kept.outcome(stays, False)
     assert len(seen) > 2 and max(seen) <= ROOM
-    back, = again(kept, tmp_path).entries.values()
+    (back,) = again(kept, tmp_path).entries.values()
     assert (back.attempts, back.ran_at) == (6, 1.0)
 
 
@@ -141,12 +142,22 @@
     assert [e.id for e in again(kept, tmp_path).entries.values()] == ["1", "3"]
 
 
-@pytest.mark.parametrize(("name", "error", "told"), [
-    ("open", errno.EMFILE, "raises"), ("open", errno.EROFS, "raises"), ("flock", errno.EIO, "raises"),
-    ("flock", errno.ENOLCK, "raises"), ("flock", errno.ENOSYS, "alone"), ("flock", errno.EAGAIN, "beside")])
+@pytest.mark.parametrize(
+    ("name", "error", "told"),
+    [
+        ("open", errno.EMFILE, "raises"),
+        ("open", errno.EROFS, "raises"),
+        ("flock", errno.EIO, "raises"),
+        ("flock", errno.ENOLCK, "raises"),
+        ("flock", errno.ENOSYS, "alone"),
+        ("flock", errno.EAGAIN, "beside"),
+    ],
+)
 def test_only_a_platform_without_locks_counts_as_one_without_a_second_process(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str, error: int, told: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str, error: int, told: str
+) -> None:
     """Guards the journal against two writers where a lock cannot be had for another reason."""
+
     def fails(*_: object) -> int:
         raise OSError(error, "no")
 
@@ -159,7 +170,8 @@
 
 
 def test_a_lock_outlasts_other_closes_of_its_file_and_is_asked_for_again(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against locks that any close of the file lets go of, and a newcomer against giving up."""
     owner = Journal(tmp_path, ROOM)
     (tmp_path / "journal.lock").read_bytes()  # opened and closed by somebody in this process
@@ -189,8 +201,9 @@
 
 
 def _old_process(folder: Path) -> subprocess.Popen[str]:
-    process = subprocess.Popen([sys.executable, "-c", _OLD, str(folder)], stdin=subprocess.PIPE,
-                               stdout=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-c", _OLD, str(folder)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
     assert process.stdout is not None and process.stdout.readline() == "ready\n"
     return process
 
@@ -218,10 +231,18 @@
     new = again(new, tmp_path)
     back = sorted(e.id for e in new.entries.values())
     assert back == ["both", "new-1", "old-1", "old-2"]
-    child = subprocess.run([sys.executable, "-c", "import sys; from pathlib import Path; "
-                            "from ashvale.journal import Journal; "
-                            "print(Journal(Path(sys.argv[1]), 400000).waiting)",
-                            str(tmp_path)], capture_output=True, text=True)
+    child = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys; from pathlib import Path; "
+            "from ashvale.journal import Journal; "
+            "print(Journal(Path(sys.argv[1]), 400000).waiting)",
+            str(tmp_path),
+        ],
+        capture_output=True,
+        text=True,
+    )
     assert child.stdout.strip() == "True", child.stderr  # the next upgrade's newcomer may start
 
 
@@ -236,9 +257,18 @@
         assert old.stdin is not None
         old.stdin.close()
         old.wait(10)
-    child = subprocess.run([sys.executable, "-c", "import sys; from pathlib import Path; "
-                            "from ashvale.journal import Journal; "
-                            "j = Journal(Path(sys.argv[1]), 400_000); "
-                            "print(sorted(e.id for e in j.entries.values()))",
-                            str(tmp_path)], capture_output=True, text=True, check=True)
+    child = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys; from pathlib import Path; "
+            "from ashvale.journal import Journal; "
+            "j = Journal(Path(sys.argv[1]), 400_000); "
+            "print(sorted(e.id for e in j.entries.values()))",
+            str(tmp_path),
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     assert child.stdout.strip() == str(["both", "new-1", "old-1", "old-2"])
