--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -76,9 +76,11 @@
     assert 28.0 <= loop.now() < 500.0  # there and back twice at the least, and a window a round
 
 
-@pytest.mark.parametrize(("prepare", "told"), [
-    (lambda loop: None, "ECONNREFUSED"),
-    (lambda loop: loop.net.silent.add(HERE), "too long")], ids=["refused", "silent"])
+@pytest.mark.parametrize(
+    ("prepare", "told"),
+    [(lambda loop: None, "ECONNREFUSED"), (lambda loop: loop.net.silent.add(HERE), "too long")],
+    ids=["refused", "silent"],
+)
 def test_connections_that_do_not_come_up(prepare: Callable[[VirtualLoop], None], told: str) -> None:
     loop = VirtualLoop()
     prepare(loop)
@@ -124,11 +126,21 @@
 
 
 def test_two_runs_in_fresh_processes_with_other_hash_seeds_are_the_same_to_the_byte() -> None:
-    code = ("from tests.test_lab import *\n"
-            "r = play(replace(SHORT_RUN, troubles=(Trouble(Rehearsal.kill, 1.0, 2),), faults={9: FULL}))\n"
-            "print(r.counts, r.digest, r.written, r.writes, r.virtual_ms)")
-    told = {subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True, env={
-        **os.environ, "PYTHONHASHSEED": seed}).stdout for seed in ("1", "2")}
+    code = (
+        "from tests.test_lab import *\n"
+        "r = play(replace(SHORT_RUN, troubles=(Trouble(Rehearsal.kill, 1.0, 2),), faults={9: FULL}))\n"
+        "print(r.counts, r.digest, r.written, r.writes, r.virtual_ms)"
+    )
+    told = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            check=True,
+            capture_output=True,
+            text=True,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+        ).stdout
+        for seed in ("1", "2")
+    }
     assert len(told) == 1 and "delivered" in told.pop()
 
 
@@ -156,7 +168,8 @@
 @pytest.mark.parametrize("after", [0.0, 0.1, 0.3, 10.0, 19.9, 20.0, 20.2, 20.4, 400.0])
 @pytest.mark.parametrize("how", [Rehearsal.kill, Rehearsal.leave])
 def test_a_partner_stalls_while_the_courier_restarts_at_each_stage(
-        after: float, how: Callable[[Rehearsal], None]) -> None:
+    after: float, how: Callable[[Rehearsal], None]
+) -> None:
     for script in ((), (STALL,), (DROP,), (b"HTTP/1.1 200 so\r\nContent-",)):
         partner = Partner("a", 1, script=script)
         kept(play(Scenario((partner, Partner("b", 2)), SHORT_RUN.messages, (Trouble(how, after, 1),))))
@@ -175,10 +188,13 @@
 # The first attempt may have run; the next two are told waits that end shortly before the window does, and the
 # partner's machine is cut off then: the connection comes up at the system's second try, past the window.
 CLOSING = answer(503, b"", retry_after="2.500", connection="close")
-CUT_LATE = Scenario((Partner("a", 1, "hub", script=(DROP, CLOSING, CLOSING)),),
-                    (Message(0.0, "m0", "usage-record"),), (Trouble(Rehearsal.silent, 2400.0, 3),),
-                    # All of its capacity at once: no draw of a pause between trials decides the case.
-                    settings={"limits": {"connect_timeout_ms": 1500.0}, "contract": {"cold_share": 1.0}})
+CUT_LATE = Scenario(
+    (Partner("a", 1, "hub", script=(DROP, CLOSING, CLOSING)),),
+    (Message(0.0, "m0", "usage-record"),),
+    (Trouble(Rehearsal.silent, 2400.0, 3),),
+    # All of its capacity at once: no draw of a pause between trials decides the case.
+    settings={"limits": {"connect_timeout_ms": 1500.0}, "contract": {"cold_share": 1.0}},
+)
 TOGETHER = replace(CUT_LATE, messages=(*CUT_LATE.messages, Message(1000.0, "m1"), Message(1000.0, "m2")))
 
 
@@ -194,7 +210,8 @@
 
 @pytest.mark.parametrize("scenario", [CUT_LATE, TOGETHER], ids=["alone", "batch"])
 def test_a_window_that_is_looked_at_only_when_sending_is_caught(
-        scenario: Scenario, monkeypatch: pytest.MonkeyPatch) -> None:
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
     real = Exchange._join
 
     def join(self: Exchange, action: Any, *rest: Any) -> None:
@@ -244,8 +261,13 @@
 def test_a_wait_outlasts_a_list_that_changes_all_endpoints() -> None:
     """Guards a partner's wait against its only endpoint's going and coming again."""
     partner = Partner("a", 1, script=(answer(503, b"", retry_after="6.000"),))
-    result = kept(play(Scenario((partner,), (Message(0.0, "m0"), Message(2600.0, "m1")),
-                                (Trouble(Rehearsal.drain, 30.0),))))
+    result = kept(
+        play(
+            Scenario(
+                (partner,), (Message(0.0, "m0"), Message(2600.0, "m1")), (Trouble(Rehearsal.drain, 30.0),)
+            )
+        )
+    )
     assert result.counts["delivered"] == 2
 
 
@@ -269,8 +291,13 @@
 def twice(self: Exchange, execution: Any, real: Any = Exchange._begin) -> None:
     real(self, execution)
     if execution.open:
-        other = replace(execution, parts=list(execution.parts), attempts=list(execution.attempts), open=set(),
-                        by=list(execution.by))
+        other = replace(
+            execution,
+            parts=list(execution.parts),
+            attempts=list(execution.attempts),
+            open=set(),
+            by=list(execution.by),
+        )
         self.carriers["platform"].execute(other)
 
 
@@ -278,8 +305,16 @@
     self.loop.call_at(self.loop.now() + 40_000.0, lambda: real(self, entry))
 
 
-def deaf(self: Exchange, execution: Any, entry: Any, outcome: Any, wait_ms: float = 0.0, *more: Any,
-         real: Any = Exchange.report, **named: Any) -> None:
+def deaf(
+    self: Exchange,
+    execution: Any,
+    entry: Any,
+    outcome: Any,
+    wait_ms: float = 0.0,
+    *more: Any,
+    real: Any = Exchange.report,
+    **named: Any,
+) -> None:
     real(self, execution, entry, outcome, 0.0, *more, **named)
 
 
@@ -288,8 +323,9 @@
     return Nack(500.0, "no")
 
 
-def denies(self: Exchange, entry: Any, state: str, after_ms: float = 0.0,
-           real: Any = Exchange._decide) -> None:
+def denies(
+    self: Exchange, entry: Any, state: str, after_ms: float = 0.0, real: Any = Exchange._decide
+) -> None:
     real(self, entry, RETURNED, after_ms)
 
 
@@ -307,8 +343,13 @@
     "two ends": (Server, "ended", two_states, SLOW, {}),
     "two attempts at once": (Exchange, "_begin", twice, Partner("a", 1), {}),
     "sent again past its window": (Controller, "_repeat_by", lambda self, m: 1e18, SLOW, {}),
-    "more attempts than allowed": (Controller, "_went_out", lambda *_: None, Partner(
-        "a", 1, script=(answer(500),) * 40), {"limits": {"most_tries": 30}}),
+    "more attempts than allowed": (
+        Controller,
+        "_went_out",
+        lambda *_: None,
+        Partner("a", 1, script=(answer(500),) * 40),
+        {"limits": {"most_tries": 30}},
+    ),
     "sent within a told wait": (Exchange, "report", deaf, WAITS, {}),
     "refused and sent all the same": (Exchange, "take", takes_what_it_refuses, Partner("a", 1), {}),
     "delivered, and a notice as well": (Exchange, "_decide", denies, Partner("a", 1), {}),
@@ -318,8 +359,9 @@
 @pytest.mark.parametrize("rule", MUTANTS)
 def test_a_courier_with_one_fault_is_caught_by_its_rule(rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
     owner, name, mutant, partner, settings = MUTANTS[rule]
-    messages = tuple(Message(100.0 * n, f"m{n}", ("usage-record", "rate-update")[n % 2], 1, 28_000.0)
-                     for n in range(4))
+    messages = tuple(
+        Message(100.0 * n, f"m{n}", ("usage-record", "rate-update")[n % 2], 1, 28_000.0) for n in range(4)
+    )
     scenario = Scenario((partner,), messages, settings=settings)
     kept(play(replace(scenario, settings={})))
     monkeypatch.setattr(owner, name, mutant)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -99,7 +99,7 @@
         connection = yield from connect(loop, listener.address, loop.now() + 5000.0)
         got = bytearray()
         for at in range(0, len(data), 100_000):
-            yield from connection.send(data[at:at + 100_000], loop.now() + 5000.0)
+            yield from connection.send(data[at : at + 100_000], loop.now() + 5000.0)
             while len(got) < at + 100_000:
                 got += yield from connection.receive(loop.now() + 5000.0)
         connection.close()
@@ -110,10 +110,14 @@
     listener.close()
 
 
-@pytest.mark.parametrize(("sent", "most", "lines"), [
-    (b"one\r\ntwo\r\n", 100, [b"one\r\n", b"two\r\n"]),
-    (b"x" * 30 + b"\n", 20, [b"x" * 20, b"x" * 10 + b"\n"]),
-    (b"\n\n", 5, [b"\n", b"\n"])])
+@pytest.mark.parametrize(
+    ("sent", "most", "lines"),
+    [
+        (b"one\r\ntwo\r\n", 100, [b"one\r\n", b"two\r\n"]),
+        (b"x" * 30 + b"\n", 20, [b"x" * 20, b"x" * 10 + b"\n"]),
+        (b"\n\n", 5, [b"\n", b"\n"]),
+    ],
+)
 def test_lines(sent: bytes, most: int, lines: list[bytes]) -> None:
     loop = Loop()
     connection, other = pair(loop)
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -17,44 +17,84 @@
 SENDER, FROM = "x@home.example", "MAIL FROM:<x@home.example>"
 
 
-@pytest.mark.parametrize(("text", "ms"), [
-    ("4.7.1 greylisted, try again in 300 seconds", 3e5), ("come back after 1500 ms", 1500.0),
-    ("retry after 1.5 s", 1500.0), ("wait 2 minutes please", 1.2e5), ("try again in 1 hour", 3.6e6),
-    ("retry-after: 30s", 3e4), ("come back in at least 5 min", 3e5), ("Retry-After=20 sec", 2e4),
-    ("mailbox busy", 0.0), ("in 3 attempts", 0.0), ("queue 4.3.2 after all", 0.0), ("in 5 monkeys", 0.0)])
+@pytest.mark.parametrize(
+    ("text", "ms"),
+    [
+        ("4.7.1 greylisted, try again in 300 seconds", 3e5),
+        ("come back after 1500 ms", 1500.0),
+        ("retry after 1.5 s", 1500.0),
+        ("wait 2 minutes please", 1.2e5),
+        ("try again in 1 hour", 3.6e6),
+        ("retry-after: 30s", 3e4),
+        ("come back in at least 5 min", 3e5),
+        ("Retry-After=20 sec", 2e4),
+        ("mailbox busy", 0.0),
+        ("in 3 attempts", 0.0),
+        ("queue 4.3.2 after all", 0.0),
+        ("in 5 monkeys", 0.0),
+    ],
+)
 def test_waits_in_replies(text: str, ms: float) -> None:
     assert mail.wait_in(text) == ms
 
 
-@pytest.mark.parametrize(("argument", "found"), [
-    ("FROM:<a@b>", ("a@b", {})),
-    ("from: <a@b> SIZE=9 body=8BITMIME", ("a@b", {"SIZE": "9", "BODY": "8BITMIME"})),
-    ("FROM:<>", ("", {})), ("FROM:<@x,@y:a@b>", ("a@b", {})), ('FROM:<"a b"@c>', ('"a b"@c', {})),
-    ("FROM:a@b", None), ("FROM:<a@b", None), ("TO:<a@b>", None), ("FROM:<a@b>x", None),
-    ("FROM:<a b@c>", None),
-    ("FROM:<\xe9@b>", None), ("FROM:<" + "a" * 300 + ">", None), ("", None)])
+@pytest.mark.parametrize(
+    ("argument", "found"),
+    [
+        ("FROM:<a@b>", ("a@b", {})),
+        ("from: <a@b> SIZE=9 body=8BITMIME", ("a@b", {"SIZE": "9", "BODY": "8BITMIME"})),
+        ("FROM:<>", ("", {})),
+        ("FROM:<@x,@y:a@b>", ("a@b", {})),
+        ('FROM:<"a b"@c>', ('"a b"@c', {})),
+        ("FROM:a@b", None),
+        ("FROM:<a@b", None),
+        ("TO:<a@b>", None),
+        ("FROM:<a@b>x", None),
+        ("FROM:<a b@c>", None),
+        ("FROM:<\xe9@b>", None),
+        ("FROM:<" + "a" * 300 + ">", None),
+        ("", None),
+    ],
+)
 def test_paths(argument: str, found: object) -> None:
     assert mail.path(argument, "FROM") == found
 
 
-@pytest.mark.parametrize(("line", "found"), [
-    (b"250 ok\r\n", (250, True, "ok")),
-    (b"250-more\r\n", (250, False, "more")), (b"250\r\n", (250, True, "")),
-    (b"354 go\n", (354, True, "go")), (b"99 x\r\n", None), (b"250_x\r\n", None), (b"hello\r\n", None),
-    (b"", None)])
+@pytest.mark.parametrize(
+    ("line", "found"),
+    [
+        (b"250 ok\r\n", (250, True, "ok")),
+        (b"250-more\r\n", (250, False, "more")),
+        (b"250\r\n", (250, True, "")),
+        (b"354 go\n", (354, True, "go")),
+        (b"99 x\r\n", None),
+        (b"250_x\r\n", None),
+        (b"hello\r\n", None),
+        (b"", None),
+    ],
+)
 def test_reply_lines(line: bytes, found: object) -> None:
     assert mail.reply_line(line) == found
 
 
-@pytest.mark.parametrize(("pieces", "body", "fault"), [
-    ([b"a\r\n", b".\r\n"], b"a\r\n", 0), ([b".\r\n"], b"", 0),
-    ([b"..\r\n", b"..a\r\n", b".\r\n"], b".\r\n.a\r\n", 0),
-    ([b"a\n", b".\r\n", b"x\r\n", b".\r\n"], None, 554), ([b"a\r\n", b".\n", b"b\r\n", b".\r\n"], None, 554),
-    ([b"a\rb\r\n", b".\r\n"], None, 554), ([b"a\r\r\n", b".\r\n"], None, 554),
-    ([b"a" * 90, b"a\r\n", b".\r\n"], None, 554), ([b"a" * 90 + b"\r", b"\n", b".\r\n"], None, 554),
-    ([b"a" * 98 + b"\r\n", b"b\r\n", b".\r\n"], None, 552)])
+@pytest.mark.parametrize(
+    ("pieces", "body", "fault"),
+    [
+        ([b"a\r\n", b".\r\n"], b"a\r\n", 0),
+        ([b".\r\n"], b"", 0),
+        ([b"..\r\n", b"..a\r\n", b".\r\n"], b".\r\n.a\r\n", 0),
+        ([b"a\n", b".\r\n", b"x\r\n", b".\r\n"], None, 554),
+        ([b"a\r\n", b".\n", b"b\r\n", b".\r\n"], None, 554),
+        ([b"a\rb\r\n", b".\r\n"], None, 554),
+        ([b"a\r\r\n", b".\r\n"], None, 554),
+        ([b"a" * 90, b"a\r\n", b".\r\n"], None, 554),
+        ([b"a" * 90 + b"\r", b"\n", b".\r\n"], None, 554),
+        ([b"a" * 98 + b"\r\n", b"b\r\n", b".\r\n"], None, 552),
+    ],
+)
 def test_messages_end_only_where_both_sides_see_it(
-        pieces: list[bytes], body: bytes | None, fault: int) -> None:
+    pieces: list[bytes], body: bytes | None, fault: int
+) -> None:
     """Guards against smuggling: an end that only one side takes for one hides a message in another."""
     reader = mail.DataReader(100)
     ends = [reader.feed(piece) for piece in pieces]
@@ -62,19 +102,31 @@
     assert (reader.fault or (0, ""))[0] == fault and (body is None or bytes(reader.body) == body)
 
 
-@pytest.mark.parametrize(("body", "sent"), [
-    (b"a\r\n", b"a\r\n.\r\n"), (b".a\r\n.\r\n", b"..a\r\n..\r\n.\r\n"),
-    (b"a", b"a\r\n.\r\n"), (b"", b".\r\n")])
+@pytest.mark.parametrize(
+    ("body", "sent"),
+    [
+        (b"a\r\n", b"a\r\n.\r\n"),
+        (b".a\r\n.\r\n", b"..a\r\n..\r\n.\r\n"),
+        (b"a", b"a\r\n.\r\n"),
+        (b"", b".\r\n"),
+    ],
+)
 def test_dots_are_stuffed(body: bytes, sent: bytes) -> None:
     assert mail.stuffed(body) == sent
 
 
-@pytest.mark.parametrize(("answers", "outcome", "wait", "over"), [
-    ([(250, "ok")], Outcome.OK, 0.0, ""), ([(451, "in 2 s")], Outcome.FULL, 2000.0, ""),
-    ([(554, "no")], Outcome.MOOT, 0.0, "failed"), ([(250, ""), (451, "in 2 s")], Outcome.ERROR, 0.0, ""),
-    ([(250, ""), (550, "")], Outcome.ERROR, 0.0, ""),
-    ([(451, "in 2 s"), (452, "in 3 s")], Outcome.FULL, 3000.0, ""),
-    ([(451, "in 2 s"), (550, "")], Outcome.MOOT, 0.0, "failed")])
+@pytest.mark.parametrize(
+    ("answers", "outcome", "wait", "over"),
+    [
+        ([(250, "ok")], Outcome.OK, 0.0, ""),
+        ([(451, "in 2 s")], Outcome.FULL, 2000.0, ""),
+        ([(554, "no")], Outcome.MOOT, 0.0, "failed"),
+        ([(250, ""), (451, "in 2 s")], Outcome.ERROR, 0.0, ""),
+        ([(250, ""), (550, "")], Outcome.ERROR, 0.0, ""),
+        ([(451, "in 2 s"), (452, "in 3 s")], Outcome.FULL, 3000.0, ""),
+        ([(451, "in 2 s"), (550, "")], Outcome.MOOT, 0.0, "failed"),
+    ],
+)
 def test_verdicts(answers: list[tuple[int, str]], outcome: Outcome, wait: float, over: str) -> None:
     assert mail.verdict(answers) == (outcome, wait, over)
 
@@ -100,18 +152,28 @@
     return [reply[:3] for reply in replies]
 
 
-@pytest.mark.parametrize(("lines", "expected"), [
-    ([FROM, "RCPT TO:<rate@a.example>", "RCPT TO:<x@b.example>"], ["250", "250", "452"]),
-    ([FROM, "RCPT TO:<rate@a.example>", "RCPT TO:<usage@a.example>"], ["250", "250", "452"]),
-    ([FROM, "RCPT TO:<rate1@a.example>", "RCPT TO:<rate2@a.example>"], ["250"] * 3),
-    (["MAIL FROM:<x@elsewhere.example>"], ["550"]), ([FROM, "RCPT TO:<z@z>"], ["250", "550"]),
-    (["MAIL FROM:<x@home.example> SIZE=20001"], ["552"]), (["MAIL FROM:<x@home.example> SIZE=many"], ["501"]),
-    (["MAIL FROM:<x@home.example> AUTH=<>"], ["555"]), (["MAIL FROM:x@home.example"], ["501"]),
-    (["RCPT TO:<rate@a.example>"], ["503"]), (["DATA"], ["503"]), ([FROM, "DATA"], ["250", "503"]),
-    ([FROM, FROM], ["250", "503"]),
-    ([FROM, "RSET", "RCPT TO:<rate@a.example>"], ["250", "250", "503"]),
-    (["NOOP", "VRFY x", "HELP", "EXPN x", "LHLO c", "EHLO"], ["250", "252", "214", "500", "500", "501"]),
-    (["noop", "rset x"], ["250", "250"]), (["EHLO again", FROM], ["250", "250"])])
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ([FROM, "RCPT TO:<rate@a.example>", "RCPT TO:<x@b.example>"], ["250", "250", "452"]),
+        ([FROM, "RCPT TO:<rate@a.example>", "RCPT TO:<usage@a.example>"], ["250", "250", "452"]),
+        ([FROM, "RCPT TO:<rate1@a.example>", "RCPT TO:<rate2@a.example>"], ["250"] * 3),
+        (["MAIL FROM:<x@elsewhere.example>"], ["550"]),
+        ([FROM, "RCPT TO:<z@z>"], ["250", "550"]),
+        (["MAIL FROM:<x@home.example> SIZE=20001"], ["552"]),
+        (["MAIL FROM:<x@home.example> SIZE=many"], ["501"]),
+        (["MAIL FROM:<x@home.example> AUTH=<>"], ["555"]),
+        (["MAIL FROM:x@home.example"], ["501"]),
+        (["RCPT TO:<rate@a.example>"], ["503"]),
+        (["DATA"], ["503"]),
+        ([FROM, "DATA"], ["250", "503"]),
+        ([FROM, FROM], ["250", "503"]),
+        ([FROM, "RSET", "RCPT TO:<rate@a.example>"], ["250", "250", "503"]),
+        (["NOOP", "VRFY x", "HELP", "EXPN x", "LHLO c", "EHLO"], ["250", "252", "214", "500", "500", "501"]),
+        (["noop", "rset x"], ["250", "250"]),
+        (["EHLO again", FROM], ["250", "250"]),
+    ],
+)
 def test_commands_in_one_go_are_answered_in_order(lines: list[str], expected: list[str]) -> None:
     with staged(Partner) as (loop, _, stage):
         assert codes(run(loop, opened(loop, stage).say(*lines))) == expected
@@ -122,9 +184,13 @@
         client = Client(loop, stage.address())
         run(loop, client.open())
         assert codes(run(loop, client.say("MAIL FROM:<x@home.example>"))) == ["503"]
-        hello, = run(loop, client.say("EHLO c"))
+        (hello,) = run(loop, client.say("EHLO c"))
         assert hello.split("\n")[1:] == [
-            "250-PIPELINING", "250-SIZE 20000", "250-8BITMIME", "250 ENHANCEDSTATUSCODES"]
+            "250-PIPELINING",
+            "250-SIZE 20000",
+            "250-8BITMIME",
+            "250 ENHANCEDSTATUSCODES",
+        ]
         assert run(loop, client.say("HELO c")) == ["250 courier.example"]
 
 
@@ -138,9 +204,14 @@
         assert not partner.connections
 
 
-@pytest.mark.parametrize(("message", "code"), [
-    (b"Subject: a\r\n\r\nx\n.\r\nMAIL FROM:<evil@home.example>\r\n", "554"), (b"x" * 20001 + b"\r\n", "552"),
-    (b"Received: a\r\n" * 101 + b"\r\nx\r\n", "554")])
+@pytest.mark.parametrize(
+    ("message", "code"),
+    [
+        (b"Subject: a\r\n\r\nx\n.\r\nMAIL FROM:<evil@home.example>\r\n", "554"),
+        (b"x" * 20001 + b"\r\n", "552"),
+        (b"Received: a\r\n" * 101 + b"\r\nx\r\n", "554"),
+    ],
+)
 def test_a_faulty_message_is_refused_whole(message: bytes, code: str) -> None:
     with staged(Partner) as (loop, partner, stage):
         replies = run(loop, Client(loop, stage.address()).send(SENDER, [RATE], message))
@@ -152,7 +223,7 @@
     with staged(Partner) as (loop, partner, stage):
         to = ["rate1@a.example", "rate2@a.example"]
         assert codes(run(loop, Client(loop, stage.address()).send(SENDER, to, body))) == ["250"]
-        got, = partner.deliveries
+        (got,) = partner.deliveries
         trace, _, rest = got.body.partition(b"\r\n")
         assert trace.startswith(b"Received: from client by courier.example with ESMTP; ")
         assert rest == body.replace(b"\r\n..", b"\r\n.") and (got.sender, got.recipients) == (SENDER, to)
@@ -165,8 +236,10 @@
         address, told = stage.address(), {"ASHVALE_MAIL": str(file), "LB_STATE": str(stage.folder)}
         assert codes(run(loop, Client(loop, address).send(SENDER, [RATE], MESSAGE))) == ["250"]
         text = stage.text.replace(f":{old.address[1]}", f":{new.address[1]}")
-        taken = text.replace('protocol = "lmtp"\naddress = "127.0.0.1:0"',
-                             f'protocol = "lmtp"\naddress = "127.0.0.1:{new.address[1]}"')
+        taken = text.replace(
+            'protocol = "lmtp"\naddress = "127.0.0.1:0"',
+            f'protocol = "lmtp"\naddress = "127.0.0.1:{new.address[1]}"',
+        )
         for useless in ("enabled = 1", taken):
             file.write_text(useless)
             reload(stage.courier, told)
@@ -191,10 +264,13 @@
         assert len(partner.deliveries) == 2 and len({d.recipients[0] for d in partner.deliveries}) == 2
 
 
-@pytest.mark.parametrize(("recipient", "script", "code"), [
-    (USAGE, {}, "250"), (USAGE, {"dot": "554 no"}, "554"), (USAGE, {"dot": DROP}, "554")])
+@pytest.mark.parametrize(
+    ("recipient", "script", "code"),
+    [(USAGE, {}, "250"), (USAGE, {"dot": "554 no"}, "554"), (USAGE, {"dot": DROP}, "554")],
+)
 def test_a_client_that_lost_its_connection_gets_the_outcome_not_a_second_delivery(
-        recipient: str, script: dict[str, str], code: str) -> None:
+    recipient: str, script: dict[str, str], code: str
+) -> None:
     with staged(Partner) as (loop, partner, stage):
         partner.scripts[:] = [script]
         run(loop, Client(loop, stage.address()).send(SENDER, [recipient], MESSAGE, drop=True))
@@ -219,7 +295,7 @@
     with staged(Partner, deadline=600, limits="max_wait_ms = 700") as (loop, partner, stage):
         partner.scripts[:] = [{"mail": "450 come back in 1 s"}]
         for _ in range(2):  # the second comes too early and is told the same
-            reply, = run(loop, Client(loop, stage.address()).send(SENDER, [RATE], MESSAGE))
+            (reply,) = run(loop, Client(loop, stage.address()).send(SENDER, [RATE], MESSAGE))
             assert reply.startswith("451") and 0 < mail.wait_in(reply) <= 700
         assert len(partner.calls) == 1
         run(loop, sleep(loop, 2200.0))  # the wait, and the ring that the refusal has narrowed
@@ -235,8 +311,10 @@
         run(loop, Client(loop, stage.address()).send(SENDER, [USAGE], other, drop=True))
         run(loop, sleep(loop, 30.0))
         stage.again()
-        replies = [run(loop, Client(loop, stage.address()).send(SENDER, [USAGE], message))
-                   for message in (MESSAGE, other)]
+        replies = [
+            run(loop, Client(loop, stage.address()).send(SENDER, [USAGE], message))
+            for message in (MESSAGE, other)
+        ]
         assert [codes(r) for r in replies] == [["554"], ["250"]] and len(partner.deliveries) == 2
 
 
@@ -252,6 +330,7 @@
 
 def test_a_cut_in_the_middle_of_a_message_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     """The partner takes no more and cuts: the dot was never written, so a usage-record goes again."""
+
     def narrow(loop: Loop, address: Address, until: float) -> Coroutine[Connection]:
         connection = yield from connect(loop, address, until)
         connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -276,12 +355,19 @@
         assert partner.connections == 2  # the first is closed, as a lone message promises no second
 
 
-@pytest.mark.parametrize(("partner", "body", "code"), [
-    ({"greeting": "220-hello\r\n220 partner"}, MESSAGE, "250"), ({"extensions": ()}, MESSAGE, "250"),
-    ({"scripts": [{"hello": "502 what"}], "extensions": ()}, MESSAGE, "250"),
-    ({"extensions": ("SIZE 10",)}, MESSAGE, "554"), ({"extensions": ()}, b"\r\n\xe9\r\n", "554"),
-    ({"greeting": "hello"}, MESSAGE, "451"), ({"greeting": "554 not here"}, MESSAGE, "451"),
-    ({"greeting": "421 come back in 1 hour"}, MESSAGE, "451")])
+@pytest.mark.parametrize(
+    ("partner", "body", "code"),
+    [
+        ({"greeting": "220-hello\r\n220 partner"}, MESSAGE, "250"),
+        ({"extensions": ()}, MESSAGE, "250"),
+        ({"scripts": [{"hello": "502 what"}], "extensions": ()}, MESSAGE, "250"),
+        ({"extensions": ("SIZE 10",)}, MESSAGE, "554"),
+        ({"extensions": ()}, b"\r\n\xe9\r\n", "554"),
+        ({"greeting": "hello"}, MESSAGE, "451"),
+        ({"greeting": "554 not here"}, MESSAGE, "451"),
+        ({"greeting": "421 come back in 1 hour"}, MESSAGE, "451"),
+    ],
+)
 def test_partners_of_all_sorts(partner: dict[str, object], body: bytes, code: str) -> None:
     def other(loop: Loop) -> Partner:
         return Partner(loop, **partner)  # type: ignore[arg-type]
@@ -295,7 +381,7 @@
         partner.scripts[:] = [{"dot": STALL}]
         run(loop, Client(loop, stage.address()).send(SENDER, [USAGE], MESSAGE, drop=True))
         run(loop, sleep(loop, 60.0))
-        reply, = run(loop, Client(loop, stage.address()).send(SENDER, [RATE], MESSAGE))
+        (reply,) = run(loop, Client(loop, stage.address()).send(SENDER, [RATE], MESSAGE))
         assert reply.startswith("451") and mail.wait_in(reply) > 0
 
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -36,8 +36,9 @@
         file = s.folder / "config.json"
         file.write_text(json.dumps({"settings": s.settings, "known": s.discovery.whole()}))
         self.scene, self.log, self.ports = s, "", dict[str, int]()
-        self.process = subprocess.Popen([sys.executable, "-m", "ashvale"], stderr=subprocess.PIPE, env={
-            **os.environ, **s.told, **environ})
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "ashvale"], stderr=subprocess.PIPE, env={**os.environ, **s.told, **environ}
+        )
         assert self.process.stderr is not None
         self.read_until("serving")
         for front, port in re.findall(r"listen_(\w+)\W+[\d.]+:(\d+)", self.log):
@@ -71,6 +72,7 @@
             return head
         except Broken:
             return b""
+
     return bytes(run(s.loop, steps()))
 
 
@@ -90,9 +92,11 @@
 
 def test_it_starts_and_follows_signals_where_unix_sockets_are_refused() -> None:
     """Guards the start on a platform that answers ENOSYS to whatever is not TCP over IPv4."""
-    refuse = ("import errno, socket\n"
-              "def refused(*_args, **_more):\n    raise OSError(errno.ENOSYS, 'Function not implemented')\n"
-              "socket.socketpair = socket.fromfd = refused\n")
+    refuse = (
+        "import errno, socket\n"
+        "def refused(*_args, **_more):\n    raise OSError(errno.ENOSYS, 'Function not implemented')\n"
+        "socket.socketpair = socket.fromfd = refused\n"
+    )
     with scene() as s:
         (s.folder / "sitecustomize.py").write_text(refuse)
         program = Program(s, PYTHONPATH=os.pathsep.join([str(s.folder), os.getcwd()]))
@@ -128,8 +132,9 @@
             assert old.ask(request("usage-record", id)).startswith(b"HTTP/1.1 202 "), id
         s.until(lambda: old.process.poll() is not None)
         log = old.end(signal.SIGTERM)
-        left, ended = (float(re.findall(rf"at=([\d.]+)\S* .*event={event}", log)[-1])
-                       for event in ("leaving", "ended"))
+        left, ended = (
+            float(re.findall(rf"at=([\d.]+)\S* .*event={event}", log)[-1]) for event in ("leaving", "ended")
+        )
         assert "owed=1" in log and ended - left < 3.0
         s.until(lambda: len(shut.calls) == 2 and len(endpoint.calls) >= len(ids))
         assert new.end(signal.SIGTERM).count("event=ended owed=0") == 1
@@ -179,8 +184,15 @@
         new = Discovery(s.loop)
         new.seq, endpoint = 90, Endpoint(s.loop)  # another agent may count otherwise
         new.list("s-1", endpoint)
-        file.write_text(json.dumps({**json.loads(old), "settings": {**s.settings, "limits": {
-            **s.settings["limits"], "max_open": 3}}, "discovery": f"{HERE}:{new.listener.address[1]}"}))
+        file.write_text(
+            json.dumps(
+                {
+                    **json.loads(old),
+                    "settings": {**s.settings, "limits": {**s.settings["limits"], "max_open": 3}},
+                    "discovery": f"{HERE}:{new.listener.address[1]}",
+                }
+            )
+        )
         program.process.send_signal(signal.SIGHUP)
         program.read_until("configuration read anew")
         s.until(lambda: len(new.asked) >= 2)
@@ -204,10 +216,13 @@
         marker = s.folder / "begun"
         (s.folder / "sitecustomize.py").write_text(  # run before the program is; it waits for the signal
             f"import os, time\nopen({str(marker)!r}, 'w').close()\n"
-            f"while os.path.exists({str(marker)!r}):\n    time.sleep(0.01)\n")
+            f"while os.path.exists({str(marker)!r}):\n    time.sleep(0.01)\n"
+        )
         process = subprocess.Popen(
-            ["/bin/sh", "-c", run], stderr=subprocess.PIPE,
-            env={**os.environ, **s.told, "PYTHONPATH": os.pathsep.join([str(s.folder), os.getcwd()])})
+            ["/bin/sh", "-c", run],
+            stderr=subprocess.PIPE,
+            env={**os.environ, **s.told, "PYTHONPATH": os.pathsep.join([str(s.folder), os.getcwd()])},
+        )
         s.until(marker.exists)
         process.send_signal(signal.SIGHUP)
         marker.unlink()
@@ -228,8 +243,11 @@
 
         def talk() -> None:
             with kind(HERE, program.ports[protocol], timeout=20) as client:
-                done.append(client.sendmail(
-                    "x@home.example", ["rate@a.example", "x@nowhere.example"], "Subject: a\n\n.dot\n"))
+                done.append(
+                    client.sendmail(
+                        "x@home.example", ["rate@a.example", "x@nowhere.example"], "Subject: a\n\n.dot\n"
+                    )
+                )
 
         thread = threading.Thread(target=talk)
         thread.start()
@@ -242,7 +260,8 @@
 
 
 def test_the_rehearsal_prints_a_verdict_for_each_case(
-        monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
     good = rehearsal.Case("lmtp delivers", rehearsal.USAGE, "250", 1, lmtp=True)
     monkeypatch.setattr(rehearsal, "CASES", (good, dataclasses.replace(good, name="wrong", reply="451")))
     assert rehearsal.main() == 1
@@ -251,11 +270,15 @@
     assert lines[2] == "1 of 2 cases went as they must"
 
 
-@pytest.mark.parametrize(("environ", "told"), [
-    ({"LB_STATE": "/nowhere/at/all"}, "key 'LB_STATE' names no folder"),
-    ({"LB_LISTEN": "here"}, "key 'listen' is no address"),
-    ({"LB_CONFIG": ""}, "key 'LB_CONFIG' is missing"),
-    ({"ASHVALE_MAIL": "/nowhere/mail.toml"}, "mail.toml: No such file")])
+@pytest.mark.parametrize(
+    ("environ", "told"),
+    [
+        ({"LB_STATE": "/nowhere/at/all"}, "key 'LB_STATE' names no folder"),
+        ({"LB_LISTEN": "here"}, "key 'listen' is no address"),
+        ({"LB_CONFIG": ""}, "key 'LB_CONFIG' is missing"),
+        ({"ASHVALE_MAIL": "/nowhere/mail.toml"}, "mail.toml: No such file"),
+    ],
+)
 def test_a_faulty_setting_ends_the_start_with_its_name(environ: dict[str, str], told: str) -> None:
     with scene() as s:
         program = Program(s, **environ)
@@ -273,7 +296,8 @@
 def test_log_lines_are_pairs_that_any_reader_can_split() -> None:
     line = KeyValue().format(record("a thing", why='said "no"\nagain', n=3, empty=""))
     assert line.split(" ", 1)[1] == (
-        'level=info part=ashvale.x event="a thing" why="said \\"no\\"\\nagain" n=3 empty=""')
+        'level=info part=ashvale.x event="a thing" why="said \\"no\\"\\nagain" n=3 empty=""'
+    )
 
 
 def test_log_lines_as_json_are_set_in_the_file_and_may_change_while_it_runs() -> None:
@@ -302,7 +326,8 @@
 
         def text(swap: int) -> str:
             made = SET.replace("held = 2", f"held = {sequence.randrange(1, 9)}\nat_once = 1").replace(
-                "held = 4", 'held = 60\nrate = "80/s"\nretries = "50 %"')
+                "held = 4", 'held = 60\nrate = "80/s"\nretries = "50 %"'
+            )
             return made if swap % 3 else made.replace("[partner.two]", "[partner.two")
 
         def lay(swap: int) -> None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -12,6 +12,7 @@
 
 def call(s: Scene, data: bytes) -> bytes:
     """One call at the operator's door; what comes back until it closes."""
+
     def steps() -> Coroutine[bytes]:
         assert s.courier.operator is not None
         connection = yield from connect(s.loop, s.courier.operator.listener.address, s.loop.now() + LONG_MS)
@@ -21,6 +22,7 @@
             got += part
         connection.close()
         return got
+
     return bytes(run(s.loop, steps()))
 
 
@@ -51,21 +53,24 @@
             s.start()
 
 
-@pytest.mark.parametrize(("calls", "last"), [
-    ([("GET", "/healthcheck")], 200),
-    ([("POST", "/healthcheck")], 405),
-    ([("GET", "/nothing")], 404),
-    ([("GET", "/endpoints/s-1/maint")], 405),
-    ([("POST", "/endpoints/s-1/maint")], 200),
-    ([("POST", "/endpoints/s-1/maint"), ("POST", "/endpoints/s-1/maint")], 200),  # twice: the same ban
-    ([("POST", "/endpoints/s-1/ready")], 200),  # ready without maint: nothing to end
-    ([("POST", "/endpoints/never/maint")], 404),  # never listed
-    ([("POST", "/endpoints//maint")], 404),  # empty
-    ([("POST", "/endpoints/" + "x" * 201 + "/maint")], 404),  # too long
-    ([("POST", "/healthcheck/fail"), ("POST", "/healthcheck/fail"), ("GET", "/healthcheck")], 503),
-    ([("POST", "/healthcheck/ok"), ("GET", "/healthcheck")], 200),  # ok without fail
-    ([("POST", "/healthcheck/fail"), ("POST", "/healthcheck/ok"), ("GET", "/healthcheck")], 200),
-])
+@pytest.mark.parametrize(
+    ("calls", "last"),
+    [
+        ([("GET", "/healthcheck")], 200),
+        ([("POST", "/healthcheck")], 405),
+        ([("GET", "/nothing")], 404),
+        ([("GET", "/endpoints/s-1/maint")], 405),
+        ([("POST", "/endpoints/s-1/maint")], 200),
+        ([("POST", "/endpoints/s-1/maint"), ("POST", "/endpoints/s-1/maint")], 200),  # twice: the same ban
+        ([("POST", "/endpoints/s-1/ready")], 200),  # ready without maint: nothing to end
+        ([("POST", "/endpoints/never/maint")], 404),  # never listed
+        ([("POST", "/endpoints//maint")], 404),  # empty
+        ([("POST", "/endpoints/" + "x" * 201 + "/maint")], 404),  # too long
+        ([("POST", "/healthcheck/fail"), ("POST", "/healthcheck/fail"), ("GET", "/healthcheck")], 503),
+        ([("POST", "/healthcheck/ok"), ("GET", "/healthcheck")], 200),  # ok without fail
+        ([("POST", "/healthcheck/fail"), ("POST", "/healthcheck/ok"), ("GET", "/healthcheck")], 200),
+    ],
+)
 def test_calls_at_the_door(calls: list[tuple[str, str]], last: int) -> None:
     with scene() as s:
         s.environ = {"LB_OPERATOR": f"{HERE}:0"}
@@ -75,9 +80,15 @@
         assert answers[-1] == last
 
 
-@pytest.mark.parametrize("data", [b"", b"GET /healthcheck HTTP/1.1\r\n", b"\x00\x01garbage\r\n\r\n",
-                                  b"POST /healthcheck/fail HTTP/1.1\r\nHost: x\r\n"
-                                  b"Content-Length: 99999\r\n\r\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"GET /healthcheck HTTP/1.1\r\n",
+        b"\x00\x01garbage\r\n\r\n",
+        b"POST /healthcheck/fail HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n",
+    ],
+)
 def test_a_silent_or_broken_caller_is_ended_and_changes_nothing(data: bytes) -> None:
     """Guards the door's table against callers that connect and finish no call."""
     with scene() as s:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -15,18 +15,29 @@
 
 ORDERED = {
     "categories": [
-        {"name": "orders", "repeat": "side_effect", "keep_order": True, "objective_ms": 4000,
-         "give_up_ms": 20000},
-        {"name": "sync", "repeat": "pure", "objective_ms": 2500, "give_up_ms": 24000}],
-    "contract": {"order_settle_ms": 300.0}}
+        {
+            "name": "orders",
+            "repeat": "side_effect",
+            "keep_order": True,
+            "objective_ms": 4000,
+            "give_up_ms": 20000,
+        },
+        {"name": "sync", "repeat": "pure", "objective_ms": 2500, "give_up_ms": 24000},
+    ],
+    "contract": {"order_settle_ms": 300.0},
+}
 
 
 def ids(*endpoints: Endpoint) -> list[str]:
     """The messages of all calls, in the order in which they arrived."""
+
     def of(call: Call) -> list[str]:
         return batch_ids(call.body) if call.path == "/hook/batch" else [call.headers["request-id"]]
-    calls = sorted((call for endpoint in endpoints for call in endpoint.calls
-                    if call.path.startswith("/hook")), key=lambda call: call.at)
+
+    calls = sorted(
+        (call for endpoint in endpoints for call in endpoint.calls if call.path.startswith("/hook")),
+        key=lambda call: call.at,
+    )
     return [id for call in calls for id in of(call)]
 
 
@@ -35,10 +46,21 @@
     assert head.startswith(b"HTTP/1.1 202 "), head
 
 
-@pytest.mark.parametrize(("path", "status"), [
-    ("orders/7f3a", 202), ("orders", 400), ("orders/", 400), ("orders/" + "x" * 201, 400),
-    ("orders/a/b", 404),
-    ("orders/a%20b", 202), ("sync", 202), ("sync/7f3a", 404), ("sync/", 404), ("other/7f3a", 404)])
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [
+        ("orders/7f3a", 202),
+        ("orders", 400),
+        ("orders/", 400),
+        ("orders/" + "x" * 201, 400),
+        ("orders/a/b", 404),
+        ("orders/a%20b", 202),
+        ("sync", 202),
+        ("sync/7f3a", 404),
+        ("sync/", 404),
+        ("other/7f3a", 404),
+    ],
+)
 def test_a_class_that_keeps_its_order_needs_a_key(path: str, status: int) -> None:
     with scene(**ORDERED) as s:
         s.start()
@@ -82,7 +104,9 @@
         s.until(lambda: bool(s.discovery.notices))
         heard = s.loop.now()
         assert s.discovery.notices[0] == {"id": "k0", "state": "failed"} and ids(endpoint) in (
-            ["k0"], ["k0", "f0"])
+            ["k0"],
+            ["k0", "f0"],
+        )
         s.until(lambda: s.courier.exchange.idle)
         calls = {id: call.at for call in endpoint.calls for id in [call.headers["request-id"]]}
         assert calls["k1"] >= heard and calls["k1"] - calls["k0"] >= 300.0
@@ -131,8 +155,14 @@
     with scene(**ORDERED) as s:
         s.start()
         exchange = s.courier.exchange
-        taken = [exchange.take(platform.Command(f"k{n}", "platform", "orders", "1", "home", "",
-                                                s.loop.now() + 9000.0, b"", order="k")) for n in range(2)]
+        taken = [
+            exchange.take(
+                platform.Command(
+                    f"k{n}", "platform", "orders", "1", "home", "", s.loop.now() + 9000.0, b"", order="k"
+                )
+            )
+            for n in range(2)
+        ]
         exchange.withdraw(taken[0])  # type: ignore[arg-type]
         endpoint = s.endpoint()
         s.until(lambda: exchange.idle)
@@ -145,18 +175,35 @@
     assert all(number < 1 << 64 for number in numbers)
 
 
-@pytest.mark.parametrize(("text", "found"), [
-    ("TEXT x0=0.4, x1=25", {"x0": 0.4, "x1": 25.0}), ("x1=25,x0=0", {"x0": 0.0, "x1": 25.0}), ("", {}),
-    ("TEXT x0=-0.4, x1=25", {"x1": 25.0}), ("TEXT x0=nan, x1=inf", {}), ("TEXT x1=1e5", {}),
-    ("TEXT x1=99999999999", {}), ("TEXT x1=9999999", {}), ("TEXT cpu=0.5, x1=3", {"x1": 3.0}),
-    ("TEXT x1 = 3", {}), ("x1=3x", {}), ("ax1=3", {}), ("x1=" + "9" * 500, {}), ("y" * 5000 + " x1=3", {}),
-    ("x1=3=4", {}), ("x1=\xff", {})], ids=lambda value: str(value)[:24])
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ("TEXT x0=0.4, x1=25", {"x0": 0.4, "x1": 25.0}),
+        ("x1=25,x0=0", {"x0": 0.0, "x1": 25.0}),
+        ("", {}),
+        ("TEXT x0=-0.4, x1=25", {"x1": 25.0}),
+        ("TEXT x0=nan, x1=inf", {}),
+        ("TEXT x1=1e5", {}),
+        ("TEXT x1=99999999999", {}),
+        ("TEXT x1=9999999", {}),
+        ("TEXT cpu=0.5, x1=3", {"x1": 3.0}),
+        ("TEXT x1 = 3", {}),
+        ("x1=3x", {}),
+        ("ax1=3", {}),
+        ("x1=" + "9" * 500, {}),
+        ("y" * 5000 + " x1=3", {}),
+        ("x1=3=4", {}),
+        ("x1=\xff", {}),
+    ],
+    ids=lambda value: str(value)[:24],
+)
 def test_load_reports_are_bounded(text: str, found: dict[str, float]) -> None:
     assert platform.load_report(text, ("x0", "x1")) == found
 
 
-@pytest.mark.parametrize("load", [
-    "TEXT x0=0.5, x1=4", "TEXT x0=0.5, x1=-4", "garbage \xff\xfe", "x1=" + "4" * 900])
+@pytest.mark.parametrize(
+    "load", ["TEXT x0=0.5, x1=4", "TEXT x0=0.5, x1=-4", "garbage \xff\xfe", "x1=" + "4" * 900]
+)
 def test_a_told_limit_paces_and_a_garbled_one_leaves_the_answer_as_it_is(load: str) -> None:
     with scene(report={"source": "inline", "fields": ["x0", "x1"]}, **ORDERED) as s:
         endpoint = s.endpoint(*[answer(200, Server_Load=load).replace(b"\xc3", b"") for _ in range(9)])
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -14,23 +14,28 @@
 from ashvale.lab import fleet as lab
 
 
-@pytest.mark.parametrize(("changes", "size", "told"), [
-    ({"out": "1"}, 3, ""),
-    ({"out": "10 %"}, 40, ""),
-    ({"out": "10 %"}, 3, "'out': '10 %' of 3 couriers is none: nobody could ever go"),
-    ({"out": "0"}, 3, "'out': '0' of 3 couriers is none: nobody could ever go"),
-    ({"out": "3"}, 3, "'out': '3' lets all 3 couriers go at once"),
-    ({"out": "-1"}, 3, "'out': '-1' is no count and no share such as '10 %'"),
-    ({"out": "101 %"}, 3, "'out': '101%' is no share from 0 to 100 %"),
-    ({"left": "many"}, 3, "'left': 'many' is no count"),
-    ({"out_building": "0"}, 3, "'out_building': '0' of 3 couriers is none"),
-    ({"apart_ms": -1.0}, 3, "'apart_ms': -1 is not from nought to a day"),
-    ({"quiet": ("22:00-06:00",)}, 3, ""),
-    ({"quiet": ("22:00",)}, 3, "'quiet': '22:00' is no span"),
-    ({"quiet": ("25:00-06:00",)}, 3, "'quiet': '25:00-06:00' is no span"),
-    ({"quiet": ("00:00-12:00", "12:00-24:00")}, 3, "'quiet': leaves no minute of the day")])
-def test_a_budget_that_cannot_be_kept_is_refused_by_its_key(changes: dict[str, object], size: int,
-                                                            told: str) -> None:
+@pytest.mark.parametrize(
+    ("changes", "size", "told"),
+    [
+        ({"out": "1"}, 3, ""),
+        ({"out": "10 %"}, 40, ""),
+        ({"out": "10 %"}, 3, "'out': '10 %' of 3 couriers is none: nobody could ever go"),
+        ({"out": "0"}, 3, "'out': '0' of 3 couriers is none: nobody could ever go"),
+        ({"out": "3"}, 3, "'out': '3' lets all 3 couriers go at once"),
+        ({"out": "-1"}, 3, "'out': '-1' is no count and no share such as '10 %'"),
+        ({"out": "101 %"}, 3, "'out': '101%' is no share from 0 to 100 %"),
+        ({"left": "many"}, 3, "'left': 'many' is no count"),
+        ({"out_building": "0"}, 3, "'out_building': '0' of 3 couriers is none"),
+        ({"apart_ms": -1.0}, 3, "'apart_ms': -1 is not from nought to a day"),
+        ({"quiet": ("22:00-06:00",)}, 3, ""),
+        ({"quiet": ("22:00",)}, 3, "'quiet': '22:00' is no span"),
+        ({"quiet": ("25:00-06:00",)}, 3, "'quiet': '25:00-06:00' is no span"),
+        ({"quiet": ("00:00-12:00", "12:00-24:00")}, 3, "'quiet': leaves no minute of the day"),
+    ],
+)
+def test_a_budget_that_cannot_be_kept_is_refused_by_its_key(
+    changes: dict[str, object], size: int, told: str
+) -> None:
     budget = msgspec.convert(msgspec.to_builtins(Budget()) | changes, Budget)
     found = "; ".join(rules.faults(budget, size)).replace("101 %'", "101%'")
     assert found.startswith(told) and bool(found) is bool(told)
@@ -39,42 +44,72 @@
 PERMIT = Permit(5, "drain", "op", "x", "a")
 
 
-@pytest.mark.parametrize(("budget", "permits", "queue", "out", "minute", "apart", "told"), [
-    ({}, {}, [], {}, -1, 0.0, ""),
-    ({}, {"c1": PERMIT}, [], {}, -1, 0.0, "1 of 4 are out already (c1)"),
-    ({}, {}, [], {"c2": "b"}, -1, 0.0, "1 of 4 are out already (c2)"),  # out for any reason counts
-    ({}, {}, [], {"c0": "a"}, -1, 0.0, ""),  # its own absence takes nothing from itself
-    ({"out": "2"}, {"c1": PERMIT}, [], {}, -1, 0.0, ""),
-    ({"out": "2"}, {"c1": PERMIT}, [], {"c1": "a"}, -1, 0.0, ""),  # one that is out twice is one
-    ({"out": "3", "out_building": "1"}, {"c1": PERMIT}, [], {}, -1, 0.0, "1 of 2 in a are out already"),
-    ({"out": "3", "out_building": "1"}, {}, [], {"c3": "b"}, -1, 0.0, ""),
-    ({}, {}, [Waiting("c3", "drain", "op", "x", 4)], {}, -1, 0.0, "1 wait before it: c3"),
-    ({}, {}, [Waiting("c0", "drain", "op", "x", 4), Waiting("c3", "drain", "op", "x", 5)], {}, -1, 0.0, ""),
-    ({"quiet": ("22:00-06:00",)}, {}, [], {}, 23 * 60, 0.0, "quiet hours"),
-    ({"quiet": ("22:00-06:00",)}, {}, [], {}, 5 * 60 + 59, 0.0, "quiet hours"),
-    ({"quiet": ("22:00-06:00",)}, {}, [], {}, 6 * 60, 0.0, ""),
-    ({}, {}, [], {}, -1, 700.0, "too soon after the one before")])
-def test_who_may_go(budget: dict[str, object], permits: dict[str, Permit], queue: list[Waiting],
-                    out: dict[str, str], minute: int, apart: float, told: str) -> None:
+@pytest.mark.parametrize(
+    ("budget", "permits", "queue", "out", "minute", "apart", "told"),
+    [
+        ({}, {}, [], {}, -1, 0.0, ""),
+        ({}, {"c1": PERMIT}, [], {}, -1, 0.0, "1 of 4 are out already (c1)"),
+        ({}, {}, [], {"c2": "b"}, -1, 0.0, "1 of 4 are out already (c2)"),  # out for any reason counts
+        ({}, {}, [], {"c0": "a"}, -1, 0.0, ""),  # its own absence takes nothing from itself
+        ({"out": "2"}, {"c1": PERMIT}, [], {}, -1, 0.0, ""),
+        ({"out": "2"}, {"c1": PERMIT}, [], {"c1": "a"}, -1, 0.0, ""),  # one that is out twice is one
+        ({"out": "3", "out_building": "1"}, {"c1": PERMIT}, [], {}, -1, 0.0, "1 of 2 in a are out already"),
+        ({"out": "3", "out_building": "1"}, {}, [], {"c3": "b"}, -1, 0.0, ""),
+        ({}, {}, [Waiting("c3", "drain", "op", "x", 4)], {}, -1, 0.0, "1 wait before it: c3"),
+        (
+            {},
+            {},
+            [Waiting("c0", "drain", "op", "x", 4), Waiting("c3", "drain", "op", "x", 5)],
+            {},
+            -1,
+            0.0,
+            "",
+        ),
+        ({"quiet": ("22:00-06:00",)}, {}, [], {}, 23 * 60, 0.0, "quiet hours"),
+        ({"quiet": ("22:00-06:00",)}, {}, [], {}, 5 * 60 + 59, 0.0, "quiet hours"),
+        ({"quiet": ("22:00-06:00",)}, {}, [], {}, 6 * 60, 0.0, ""),
+        ({}, {}, [], {}, -1, 700.0, "too soon after the one before"),
+    ],
+)
+def test_who_may_go(
+    budget: dict[str, object],
+    permits: dict[str, Permit],
+    queue: list[Waiting],
+    out: dict[str, str],
+    minute: int,
+    apart: float,
+    told: str,
+) -> None:
     made = msgspec.convert(msgspec.to_builtins(Budget()) | budget, Budget)
     no = rules.may_go(made, permits, queue, "c0", "a", out, 4, 2, minute, apart)
     assert (no.why if no else "").startswith(told) and bool(no) is bool(told)
     assert no is None or no.after_ms > 0.0
 
 
-@pytest.mark.parametrize(("left", "near", "ready", "bans", "told"), [
-    ("1", "", "ab", (), ""),
-    ("1", "", "a", (), "0 of 3 endpoints of its partner would be left; 1 have to be"),
-    ("1", "", "abc", ("b", "c"), "0 of 3"),
-    ("50 %", "", "abc", ("b",), ""),
-    ("67 %", "", "abc", ("b",), "1 of 3"),
-    ("0", "1", "abc", (), ""),
-    ("0", "1", "ab", (), "0 of 2 endpoints of its partner in x would be left")])
-def test_which_endpoint_may_be_banned(left: str, near: str, ready: str, bans: tuple[str, ...],
-                                      told: str) -> None:
+@pytest.mark.parametrize(
+    ("left", "near", "ready", "bans", "told"),
+    [
+        ("1", "", "ab", (), ""),
+        ("1", "", "a", (), "0 of 3 endpoints of its partner would be left; 1 have to be"),
+        ("1", "", "abc", ("b", "c"), "0 of 3"),
+        ("50 %", "", "abc", ("b",), ""),
+        ("67 %", "", "abc", ("b",), "1 of 3"),
+        ("0", "1", "abc", (), ""),
+        ("0", "1", "ab", (), "0 of 2 endpoints of its partner in x would be left"),
+    ],
+)
+def test_which_endpoint_may_be_banned(
+    left: str, near: str, ready: str, bans: tuple[str, ...], told: str
+) -> None:
     listed = {"a": "x", "b": "y", "c": "x"}
-    no = rules.may_ban(Budget(left=left, left_building=near), {b: Ban(1, "p", "", "", "") for b in bans}, "a",
-                       "x", listed, {name: listed[name] for name in ready})
+    no = rules.may_ban(
+        Budget(left=left, left_building=near),
+        {b: Ban(1, "p", "", "", "") for b in bans},
+        "a",
+        "x",
+        listed,
+        {name: listed[name] for name in ready},
+    )
     assert (no.why if no else "").startswith(told) and bool(no) is bool(told)
 
 
@@ -114,8 +149,9 @@
 
 
 @pytest.mark.parametrize(("voters", "followers", "seeds"), [(3, 2, range(24)), (5, 0, range(8))])
-def test_fleets_in_virtual_time_keep_to_the_budget_under_faults(voters: int, followers: int,
-                                                                seeds: range) -> None:
+def test_fleets_in_virtual_time_keep_to_the_budget_under_faults(
+    voters: int, followers: int, seeds: range
+) -> None:
     granted = 0
     for seed in seeds:
         verdict = lab.play(seed, voters, followers, orders=True)
@@ -133,6 +169,7 @@
                 id = f"over/{name}/{self.state.permits[name].number}"
                 self._propose(Forget(id, name, "time", "x"), now)
         usual(self, now)
+
     monkeypatch.setattr(Agent, "_grant_next", step)
 
 
@@ -141,8 +178,13 @@
     assert usual is not None
 
     def out(self: Agent) -> int:
-        return usual(self) or int(any(isinstance(r.command, Ask) and r.command.courier == self.setup.name
-                                      for r in self.requests.values()))
+        return usual(self) or int(
+            any(
+                isinstance(r.command, Ask) and r.command.courier == self.setup.name
+                for r in self.requests.values()
+            )
+        )
+
     monkeypatch.setattr(Agent, "out", property(out))
 
 
@@ -155,6 +197,7 @@
         if permit is not None and self.kept.incarnation > permit.life and id not in self.requests:
             self.requests[id] = lab_request(Back(id, self.setup.name, permit.number), now)
         usual(self, now)
+
     monkeypatch.setattr(Agent, "_serve_again", step)
 
 
@@ -169,6 +212,7 @@
         if isinstance(m, Back) and m.courier in self.permits:
             m = msgspec.structs.replace(m, number=self.permits[m.courier].number)
         return usual(self, index, m)
+
     monkeypatch.setattr(State, "_permit", permit)
 
 
@@ -179,19 +223,32 @@
     def step(self: Agent, now: float) -> None:
         self.stepped = 0
         usual(self, now)
+
     monkeypatch.setattr(Agent, "_step", step)
 
 
 def lab_request(command: Command, now: float) -> object:
     from ashvale.fleet.agent import Request
+
     return Request(command, now, now)
 
 
-@pytest.mark.parametrize(("plant", "faults", "seed"), [
-    (_expires, lab.FAULTS, 19), (_minority, lab.FAULTS, 2), (_restart_ends, ("kill",), 85),
-    (_only_permits, lab.FAULTS, 42), (_step_twice, lab.FAULTS, 0)])
-def test_planted_mistakes_are_found(plant: Callable[[pytest.MonkeyPatch], None], faults: tuple[str, ...],
-                                    seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    ("plant", "faults", "seed"),
+    [
+        (_expires, lab.FAULTS, 19),
+        (_minority, lab.FAULTS, 2),
+        (_restart_ends, ("kill",), 85),
+        (_only_permits, lab.FAULTS, 42),
+        (_step_twice, lab.FAULTS, 0),
+    ],
+)
+def test_planted_mistakes_are_found(
+    plant: Callable[[pytest.MonkeyPatch], None],
+    faults: tuple[str, ...],
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """`seed` is the first that shows it; a change of what is drawn may want others, of the first hundred."""
     plant(monkeypatch)
     assert any(lab.play(n, 3, 2, faults=16, kinds=faults, orders=True).broken for n in range(seed, seed + 15))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,36 +18,77 @@
 from tests.stage import answer, batch_ids, request, scene
 
 
-@pytest.mark.parametrize(("text", "ms"), [
-    ("480m", 480.0), ("1500u", 1.5), ("0m", 0.0), ("1.5m", 1.5), ("480", None), ("m", None), ("-1m", None),
-    ("480s", None), ("", None), ("4 80m", None), ("1e3m", None)])
+@pytest.mark.parametrize(
+    ("text", "ms"),
+    [
+        ("480m", 480.0),
+        ("1500u", 1.5),
+        ("0m", 0.0),
+        ("1.5m", 1.5),
+        ("480", None),
+        ("m", None),
+        ("-1m", None),
+        ("480s", None),
+        ("", None),
+        ("4 80m", None),
+        ("1e3m", None),
+    ],
+)
 def test_timeouts(text: str, ms: float | None) -> None:
     assert platform.timeout_ms(text) == ms
 
 
-@pytest.mark.parametrize(("text", "dest"), [
-    ("dest=7", "7"), ("a=1; dest=07", "7"), ("dest=7,b=2", "7"), ("modest=7", None), ("dest=", None),
-    ("dest=7x", None), ("", None)])
+@pytest.mark.parametrize(
+    ("text", "dest"),
+    [
+        ("dest=7", "7"),
+        ("a=1; dest=07", "7"),
+        ("dest=7,b=2", "7"),
+        ("modest=7", None),
+        ("dest=", None),
+        ("dest=7x", None),
+        ("", None),
+    ],
+)
 def test_destinations(text: str, dest: str | None) -> None:
     assert platform.destination(text) == dest
 
 
-@pytest.mark.parametrize(("headers", "ms"), [
-    ({b"x-come-back-ms": b"750"}, 750.0), ({b"retry-after": b"1.5"}, 1500.0), ({}, 0.0),
-    ({b"x-come-back-ms": b"soon"}, 0.0), ({b"x-come-back-ms": b"-5"}, 0.0),
-    ({b"x-come-back-ms": b"nan"}, 0.0),
-    ({b"x-come-back-ms": b"20", b"retry-after": b"3"}, 20.0)])
+@pytest.mark.parametrize(
+    ("headers", "ms"),
+    [
+        ({b"x-come-back-ms": b"750"}, 750.0),
+        ({b"retry-after": b"1.5"}, 1500.0),
+        ({}, 0.0),
+        ({b"x-come-back-ms": b"soon"}, 0.0),
+        ({b"x-come-back-ms": b"-5"}, 0.0),
+        ({b"x-come-back-ms": b"nan"}, 0.0),
+        ({b"x-come-back-ms": b"20", b"retry-after": b"3"}, 20.0),
+    ],
+)
 def test_told_waits(headers: dict[bytes, bytes], ms: float) -> None:
     assert platform.wait_ms(headers) == ms
 
 
-@pytest.mark.parametrize(("end", "busy", "outcome", "over"), [
-    (200, False, Outcome.OK, ""), (500, False, Outcome.ERROR, ""), (429, False, Outcome.FULL, ""),
-    (503, False, Outcome.FULL, ""), (503, True, Outcome.MOOT, ""), (504, False, Outcome.MOOT, ""),
-    (410, False, Outcome.MOOT, "delivered"), (302, False, Outcome.ERROR, ""),
-    ("delivered", False, Outcome.OK, ""), ("failed", False, Outcome.ERROR, ""),
-    ("refused", False, Outcome.FULL, ""), ("spent", False, Outcome.MOOT, ""),
-    ("over", False, Outcome.MOOT, "delivered"), ("", False, Outcome.ERROR, "")])
+@pytest.mark.parametrize(
+    ("end", "busy", "outcome", "over"),
+    [
+        (200, False, Outcome.OK, ""),
+        (500, False, Outcome.ERROR, ""),
+        (429, False, Outcome.FULL, ""),
+        (503, False, Outcome.FULL, ""),
+        (503, True, Outcome.MOOT, ""),
+        (504, False, Outcome.MOOT, ""),
+        (410, False, Outcome.MOOT, "delivered"),
+        (302, False, Outcome.ERROR, ""),
+        ("delivered", False, Outcome.OK, ""),
+        ("failed", False, Outcome.ERROR, ""),
+        ("refused", False, Outcome.FULL, ""),
+        ("spent", False, Outcome.MOOT, ""),
+        ("over", False, Outcome.MOOT, "delivered"),
+        ("", False, Outcome.ERROR, ""),
+    ],
+)
 def test_answers(end: int | str, busy: bool, outcome: Outcome, over: str) -> None:
     assert platform.outcome_of(end, busy) == (outcome, over)
 
@@ -65,15 +106,26 @@
         s.until(lambda: not courier.pool._idle)  # and its own goes at once
 
 
-@pytest.mark.parametrize(("data", "reused", "crowded"), [
-    (b"503 x\r\nConnection: close", False, True), (b"503 x\r\nConnection: close", True, False),
-    (b"503 x\r\nconnection: Close", False, True), (b"503 x", False, False),
-    (b"503 x\r\nConnection: close\r\nX-Come-Back-Ms: 9", False, False),
-    (b"429 x\r\nConnection: close", False, False)])
+@pytest.mark.parametrize(
+    ("data", "reused", "crowded"),
+    [
+        (b"503 x\r\nConnection: close", False, True),
+        (b"503 x\r\nConnection: close", True, False),
+        (b"503 x\r\nconnection: Close", False, True),
+        (b"503 x", False, False),
+        (b"503 x\r\nConnection: close\r\nX-Come-Back-Ms: 9", False, False),
+        (b"429 x\r\nConnection: close", False, False),
+    ],
+)
 def test_what_counts_as_a_full_table(data: bytes, reused: bool, crowded: bool) -> None:
     status, _, rest = data.partition(b" x")
-    reply = platform.Reply(status=int(status), headers=dict(
-        (name.lower(), value) for name, value in (line.split(b": ") for line in rest.split(b"\r\n") if line)))
+    reply = platform.Reply(
+        status=int(status),
+        headers=dict(
+            (name.lower(), value)
+            for name, value in (line.split(b": ") for line in rest.split(b"\r\n") if line)
+        ),
+    )
     execution = Execution(Instance("s-1", "1", ("127.0.0.1", 1)), 0.0, 1.0, reused=reused)
     assert platform._crowded(execution, reply, platform.wait_ms(reply.headers)) is crowded
 
@@ -109,34 +161,44 @@
 
 
 def test_batches_carry_any_bytes() -> None:
-    entries = [Entry(1, "a1", "", "", "", "", "", 0.0, b"x\r\ny"),
-               Entry(2, "b2", "", "", "", "", "k", 0.0, b"")]
+    entries = [
+        Entry(1, "a1", "", "", "", "", "", 0.0, b"x\r\ny"),
+        Entry(2, "b2", "", "", "", "", "k", 0.0, b""),
+    ]
     body = platform.encode_batch(entries)
     assert body == b"a1 - 4\r\nx\r\ny\r\nb2 k 0\r\n\r\n" and batch_ids(body) == ["a1", "b2"]
     assert platform.decode_batch(b"a1 delivered\r\n\r\nodd\r\nb2 over\n") == {"a1": "delivered", "b2": "over"}
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n", 200),
-    (b"POST /up HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
-    (b"GET /rate-update HTTP/1.1\r\nHost: x\r\n\r\n", 405),
-    (request("unheard-of", "a"), 404), (request("mail/x", "a"), 404),
-    (b"gibberish\r\n\r\n", 400), (b"GET /up HTTP/1.1\r\n\r\n", 400),
-    (request("rate-update", ""), 400), (request("rate-update", "a b"), 400),
-    (request("rate-update", "a", timeout="soon"), 400),
-    (request("rate-update", "a", X_Consignee="none"), 400),
-    (request("rate-update", "a", Tenant="nobody"), 400),
-    (request("usage-record", "a", Idempotency_Key=""), 400),
-    (request("rate-update", "a", body=b"x" * 65536), 202),
-    (request("rate-update", "a", body=b"x" * 65537), 413),
-    (request("rate-update", "a", Content_Length="99999999999"), 413),
-    (request("rate-update", "a", Content_Length="five"), 400),
-    # Guards partners and clients against what names no partner, or hides a second request in its body.
-    (request("rate-update", "a", dest=77), 503),
-    (request("rate-update", "a", Transfer_Encoding="chunked"), 400),
-    (request("rate-update", "a", Content_Length="-5"), 400),
-    (request("rate-update", "a", Content_Length="9" * 5000), 400),
-    (b"GET /up HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 20000, 431)], ids=lambda value: str(value)[:40])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+        (b"POST /up HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"GET /rate-update HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        (request("unheard-of", "a"), 404),
+        (request("mail/x", "a"), 404),
+        (b"gibberish\r\n\r\n", 400),
+        (b"GET /up HTTP/1.1\r\n\r\n", 400),
+        (request("rate-update", ""), 400),
+        (request("rate-update", "a b"), 400),
+        (request("rate-update", "a", timeout="soon"), 400),
+        (request("rate-update", "a", X_Consignee="none"), 400),
+        (request("rate-update", "a", Tenant="nobody"), 400),
+        (request("usage-record", "a", Idempotency_Key=""), 400),
+        (request("rate-update", "a", body=b"x" * 65536), 202),
+        (request("rate-update", "a", body=b"x" * 65537), 413),
+        (request("rate-update", "a", Content_Length="99999999999"), 413),
+        (request("rate-update", "a", Content_Length="five"), 400),
+        # Guards partners and clients against what names no partner, or hides a second request in its body.
+        (request("rate-update", "a", dest=77), 503),
+        (request("rate-update", "a", Transfer_Encoding="chunked"), 400),
+        (request("rate-update", "a", Content_Length="-5"), 400),
+        (request("rate-update", "a", Content_Length="9" * 5000), 400),
+        (b"GET /up HTTP/1.1\r\nHost: x\r\nLong: " + b"y" * 20000, 431),
+    ],
+    ids=lambda value: str(value)[:40],
+)
 def test_malformed_input_is_told_by_its_status(data: bytes, status: int) -> None:
     with scene() as s:
         s.start()
@@ -235,7 +297,7 @@
         id, head = s.hand_in("usage-record", body=body)
         assert head.startswith(b"HTTP/1.1 202 ") and id.encode() in (s.folder / "journal").read_bytes()
         s.until(lambda: s.courier.exchange.idle)
-        call, = endpoint.calls
+        (call,) = endpoint.calls
         assert (call.path, call.body) == ("/hook", body)
         assert (call.headers["request-id"], call.headers["idempotency-key"]) == (id, f"k{id}")
         assert call.headers["request-timeout"].endswith("m") and not s.discovery.notices
@@ -291,7 +353,8 @@
 
 
 def test_a_wait_told_while_a_connection_comes_up_holds_back_what_was_to_use_it(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards the rule on waits against calls that were sent before, and would be written in their midst."""
     slow = [0.0, 300.0]
 
@@ -310,9 +373,16 @@
         assert len(rest) >= 2 and rest[0] - first >= 900.0 and not s.discovery.notices
 
 
-@pytest.mark.parametrize(("cls", "script", "sends"), [
-    ("rate-update", DROP, 2), ("usage-record", DROP, 2), ("rate-update", answer(500), 2),
-    ("usage-record", b"HTTP/1.1 200 OK\r\nContent-", 1), ("usage-record", b"HTTP/1.1 2", 2)])
+@pytest.mark.parametrize(
+    ("cls", "script", "sends"),
+    [
+        ("rate-update", DROP, 2),
+        ("usage-record", DROP, 2),
+        ("rate-update", answer(500), 2),
+        ("usage-record", b"HTTP/1.1 200 OK\r\nContent-", 1),
+        ("usage-record", b"HTTP/1.1 2", 2),
+    ],
+)
 def test_what_may_have_run_is_sent_again_with_the_same_id(cls: str, script: bytes | str, sends: int) -> None:
     """A first line that says 200 is a delivery, however the answer ends."""
     with scene() as s:
@@ -337,10 +407,14 @@
         assert [call.connection for call in endpoint.calls] == [1, 2, 2] and not s.discovery.notices
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"HTTP/1.1 429 no\r\nX-Come-Back-Ms: 50\r\nContent-Length: 9\r\n\r\nab",
-    b"HTTP/1.1 503 no\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 90000,
-    b"HTTP/1.1 410 gone\r\nContent-Length: 2\r\n\r\n"])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"HTTP/1.1 429 no\r\nX-Come-Back-Ms: 50\r\nContent-Length: 9\r\n\r\nab",
+        b"HTTP/1.1 503 no\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 90000,
+        b"HTTP/1.1 410 gone\r\nContent-Length: 2\r\n\r\n",
+    ],
+)
 def test_a_spoilt_refusal_proves_nothing(spoilt: bytes) -> None:
     """Guards the rule on duplicates: a call whose answer cannot be read whole may have run."""
     with scene() as s:
@@ -354,8 +428,16 @@
 
 
 def test_a_usage_record_is_not_sent_again_after_its_window() -> None:
-    categories = [{"name": "usage-record", "repeat": "token", "key_scope": "all", "objective_ms": 2000,
-                   "give_up_ms": 16000, "dedup_window_ms": 2000}]
+    categories = [
+        {
+            "name": "usage-record",
+            "repeat": "token",
+            "key_scope": "all",
+            "objective_ms": 2000,
+            "give_up_ms": 16000,
+            "dedup_window_ms": 2000,
+        }
+    ]
     with scene(categories=categories) as s:
         endpoint = s.endpoint(*[DROP] * 99)
         s.start()
@@ -380,8 +462,16 @@
 
 
 def test_a_usage_record_that_may_have_run_keeps_its_window_across_a_restart() -> None:
-    categories = [{"name": "usage-record", "repeat": "token", "key_scope": "all", "objective_ms": 2000,
-                   "give_up_ms": 16000, "dedup_window_ms": 400}]
+    categories = [
+        {
+            "name": "usage-record",
+            "repeat": "token",
+            "key_scope": "all",
+            "objective_ms": 2000,
+            "give_up_ms": 16000,
+            "dedup_window_ms": 400,
+        }
+    ]
     with scene(categories=categories) as s:
         endpoint = s.endpoint(STALL)
         s.start()
@@ -420,8 +510,9 @@
     """Guards ends against an agent's connection that falls silent: what is late is lost."""
     waits = list[float]()
 
-    def silent(self: platform.Channel, method: str, target: str, body: bytes,
-               until: float) -> Coroutine[tuple[int, bytes]]:
+    def silent(
+        self: platform.Channel, method: str, target: str, body: bytes, until: float
+    ) -> Coroutine[tuple[int, bytes]]:
         if method == "POST":
             waits.append(until - self.loop.now())
         yield from sleep(self.loop, 1.0)
@@ -453,7 +544,8 @@
         s.until(lambda: s.courier.exchange.idle)
         batches = [call for call in hub.calls if call.path == "/hook/batch"]
         assert batches and set(ids) == {id for call in batches for id in batch_ids(call.body)} | {
-            call.headers["request-id"] for call in hub.calls if call.path == "/hook"}
+            call.headers["request-id"] for call in hub.calls if call.path == "/hook"
+        }
         assert not s.discovery.notices
 
 
@@ -561,8 +653,16 @@
 
 
 def test_discoverys_list_is_read_whole() -> None:
-    line = {"host": "s-1", "dial": "10.1.0.18:8080", "site": "a", "class": "m2", "block": 3,
-            "health": "DRAINING", "share": 2, "born_ms": 0}
+    line = {
+        "host": "s-1",
+        "dial": "10.1.0.18:8080",
+        "site": "a",
+        "class": "m2",
+        "block": 3,
+        "health": "DRAINING",
+        "share": 2,
+        "born_ms": 0,
+    }
     seq, whole, (host,) = platform.decode_hosts({"seq": 4, "whole": False, "hosts": [line]})
     assert (seq, whole, host.dest, host.address) == (4, False, "3", ("10.1.0.18", 8080))
     assert not host.ready and host.rate == 2.0
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -220,8 +220,10 @@
     assert health.state("a", now) == ""
 
 
-@pytest.mark.parametrize(("ready", "until", "state"), [
-    (True, 0.0, ""), (False, 0.0, SHUT), (True, 50.0, WAITING), (False, 50.0, SHUT)])
+@pytest.mark.parametrize(
+    ("ready", "until", "state"),
+    [(True, 0.0, ""), (False, 0.0, SHUT), (True, 50.0, WAITING), (False, 50.0, SHUT)],
+)
 def test_the_list_and_told_waits_count(ready: bool, until: float, state: str) -> None:
     health = Health(random.Random(1))
     health.listed("a", ready)
@@ -229,5 +231,3 @@
     assert health.state("a", 10.0) == state
     health.keep(set())
     assert health.state("a", 10.0) == ""
-
-
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -27,10 +27,16 @@
     st.tuples(st.just("probed"), PICK, st.sampled_from([Outcome.OK, Outcome.TIMEOUT]), st.none()),
 )
 SETUP = st.builds(
-    settings, slots=st.sampled_from([1, 3, 20]), max_open=st.sampled_from([1, 5, 100]),
-    max_attempts=st.sampled_from([1, 3, 12]), forwarders=st.sampled_from([1, 3]),
-    may_probe=st.booleans(), may_cancel=st.booleans(), must_subscribe=st.booleans(),
-    tenants=st.sampled_from([(), (api.Tenant("one", 0.5, 2.0), api.Tenant("two", 0.5, 0.0))]))
+    settings,
+    slots=st.sampled_from([1, 3, 20]),
+    max_open=st.sampled_from([1, 5, 100]),
+    max_attempts=st.sampled_from([1, 3, 12]),
+    forwarders=st.sampled_from([1, 3]),
+    may_probe=st.booleans(),
+    may_cancel=st.booleans(),
+    must_subscribe=st.booleans(),
+    tenants=st.sampled_from([(), (api.Tenant("one", 0.5, 2.0), api.Tenant("two", 0.5, 0.0))]),
+)
 
 
 def play(driver: Driver, steps: list[tuple]) -> None:
@@ -78,8 +84,11 @@
 
 @pytest.mark.parametrize("guard", ["_may_send", "_may_refuse", "_repeat_by", "_expire"])
 def test_a_guard_taken_out_is_found(guard: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Controller, guard, lambda self, m, *rest: 1e18 if guard == "_repeat_by" else (
-        guard != "_expire" and not m.done))
+    monkeypatch.setattr(
+        Controller,
+        guard,
+        lambda self, m, *rest: 1e18 if guard == "_repeat_by" else (guard != "_expire" and not m.done),
+    )
 
     @given(SETUP, st.lists(STEP, min_size=20, max_size=40))
     @budget(max_examples=200, phases=(Phase.generate,), report_multiple_bugs=False)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -26,17 +26,21 @@
 PLAN = Plan("new", "up", (("c0",), ("c1", "c2")))
 
 
-@pytest.mark.parametrize(("changes", "told"), [
-    ({}, ""),
-    ({"waves": ()}, "'waves': 0 waves; 1 to 200 were expected"),
-    ({"waves": (("c0",), ())}, "'waves': wave 2 is empty"),
-    ({"waves": (("c0", "c9"),)}, "'waves': wave 1, place 2: no courier is called 'c9'"),
-    ({"waves": (("c0",), ("c1", "c0"))}, "'waves': wave 2, place 2: 'c0' is at wave 1, place 1 already"),
-    ({"waves": (("c0", "c1", "c2"),)}, "'waves': wave 1 has 3, the budget lets 2 go at once"),
-    ({"step": " "}, "'step': a short name was expected"),
-    ({"soak_ms": -1.0}, "'soak_ms': -1 is not from 0 to a day"),
-    ({"band": 0.0}, "'band': 0 is not between 0 and 1"),
-    ({"least": 0}, "'least': 0 is not from 1 to 1,000,000")])
+@pytest.mark.parametrize(
+    ("changes", "told"),
+    [
+        ({}, ""),
+        ({"waves": ()}, "'waves': 0 waves; 1 to 200 were expected"),
+        ({"waves": (("c0",), ())}, "'waves': wave 2 is empty"),
+        ({"waves": (("c0", "c9"),)}, "'waves': wave 1, place 2: no courier is called 'c9'"),
+        ({"waves": (("c0",), ("c1", "c0"))}, "'waves': wave 2, place 2: 'c0' is at wave 1, place 1 already"),
+        ({"waves": (("c0", "c1", "c2"),)}, "'waves': wave 1 has 3, the budget lets 2 go at once"),
+        ({"step": " "}, "'step': a short name was expected"),
+        ({"soak_ms": -1.0}, "'soak_ms': -1 is not from 0 to a day"),
+        ({"band": 0.0}, "'band': 0 is not between 0 and 1"),
+        ({"least": 0}, "'least': 0 is not from 1 to 1,000,000"),
+    ],
+)
 def test_a_plan_is_refused_by_name_and_position(changes: dict[str, object], told: str) -> None:
     plan = msgspec.structs.replace(PLAN, **changes)
     assert "; ".join(rules.faults(plan, {"c0", "c1", "c2", "c3"}, Budget(out="2"))) == told
@@ -71,7 +75,8 @@
     r = back
     go("c2", DONE)  # its step out has ended: it has to go back as well
     assert r.parts["c2"] == Part(WAITS, BACK, 1, "it broke") and rules.steer(r, "back", "", "") == (
-        "it goes back already")
+        "it goes back already"
+    )
     for name in ("c1", "c2"):
         go(name, BEGAN)
         go(name, DONE)
@@ -104,7 +109,7 @@
     assert rules.piles_up([], [1]) is None
 
 
-STEPS = '''
+STEPS = """
 [fleet.step.restart]
 run = ["sh", "-c", "echo out $ASHVALE_PID >> {log}; kill -9 $ASHVALE_PID"]
 back = ["sh", "-c", "echo back $ASHVALE_PID >> {log}; kill -9 $ASHVALE_PID"]
@@ -117,7 +122,7 @@
 run = ["sh", "-c", "sleep 60"]
 [fleet.step.nothing]
 run = ["true"]
-'''
+"""
 
 
 def plan(step: str, *waves: list[str], **more: object) -> dict[str, object]:
@@ -135,12 +140,14 @@
 
 def supervise(f: Rig, done: object, most: int = 1) -> None:
     """Start again whoever ended, as a supervisor does, until something has come to be."""
+
     def step() -> bool:
         for name in f.names:
             if f.processes[name].poll() is not None:
                 f.start(name)
         assert len(f.away()) <= most
         return bool(done())  # type: ignore[operator]
+
     f.until(step, "the end of a release")
 
 
@@ -162,8 +169,13 @@
         supervise(f, lambda: len(log.read_text().splitlines()) == 2)
         second = order[1]
         f.until(lambda: f.order(order[2], "steer", verb="halt")[0] == 200, "a halt")
-        supervise(f, lambda: rollout(f, order[2]).get("status") == "halted" and all(
-            part["state"] in (DONE, WAITS) for part in rollout(f, order[2])["parts"].values()))  # type: ignore
+        supervise(
+            f,
+            lambda: (
+                rollout(f, order[2]).get("status") == "halted"
+                and all(part["state"] in (DONE, WAITS) for part in rollout(f, order[2])["parts"].values())
+            ),
+        )  # type: ignore
         f.until(lambda: f.order(order[2], "steer", verb="back")[0] == 200, "the way back")
         supervise(f, lambda: last(f, order[2]).get("note") == "all went back")
         told = [line.split()[0] for line in log.read_text().splitlines()]
@@ -174,12 +186,18 @@
         assert len(log.read_text().splitlines()) == 7 and not f.away()
 
 
-@pytest.mark.parametrize(("step", "more", "why"), [
-    ("fails", {}, "ended with 3"), ("hangs", {"step_ms": 1500.0}, "not done within 1.5 s"),
-    ("unknown", {}, "no command for step 'unknown'"),
-    ("nothing", {"restarts": False, "expect": "2"}, "it says version '1', '2' was expected")])
-def test_a_step_that_fails_hangs_or_did_nothing_halts_it(step: str, more: dict[str, object], why: str,
-                                                         tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ("step", "more", "why"),
+    [
+        ("fails", {}, "ended with 3"),
+        ("hangs", {"step_ms": 1500.0}, "not done within 1.5 s"),
+        ("unknown", {}, "no command for step 'unknown'"),
+        ("nothing", {"restarts": False, "expect": "2"}, "it says version '1', '2' was expected"),
+    ],
+)
+def test_a_step_that_fails_hangs_or_did_nothing_halts_it(
+    step: str, more: dict[str, object], why: str, tmp_path: Path
+) -> None:
     with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
         settled(f)
         told = plan(step, ["c1"], ["c2"], **more)
@@ -212,8 +230,12 @@
         f.order_unheard(one, "steer", verb="back")  # in the minority
         f.until(lambda: f.order(leader, "steer", verb="halt", why="by hand")[0] == 200, "a halt")
         f.heal()
-        f.until(lambda: all(rollout(f, n).get("note") == "by hand" or rollout(f, n).get("way") == BACK
-                            for n in f.names), "one view")
+        f.until(
+            lambda: all(
+                rollout(f, n).get("note") == "by hand" or rollout(f, n).get("way") == BACK for n in f.names
+            ),
+            "one view",
+        )
         assert f.order(one, "steer", verb="abandon", why="x")[0] == 200
 
 
@@ -264,8 +286,17 @@
         f.until(lambda: all(f.delivered(id) or f.noticed(id) for sent in ids.values() for id in sent))
         f.to_partner[bad, "partner"].heal()
         assert f.order(bad, "steer", verb="back")[0] == 200
-        f.until(lambda: rollout(f, leader)["parts"][bad] == {  # type: ignore[index]
-            "state": DONE, "way": BACK, "life": 1, "why": ""})
+        f.until(
+            lambda: (
+                rollout(f, leader)["parts"][bad]
+                == {  # type: ignore[index]
+                    "state": DONE,
+                    "way": BACK,
+                    "life": 1,
+                    "why": "",
+                }
+            )
+        )
         f.deliver(bad)
         assert f.order(leader, "steer", verb="abandon", why="gone back")[0] == 200
 
@@ -274,14 +305,18 @@
     with fleet(3, 3, STEPS.format(log=tmp_path / "steps")) as f:
         settled(f)
         file = tmp_path / "plan.toml"
-        file.write_text('name = "new"\nstep = "note"\nrestarts = false\nsoak = 0.2\n'
-                        'waves = [["c1"], ["c2"]]\n')
+        file.write_text(
+            'name = "new"\nstep = "note"\nrestarts = false\nsoak = 0.2\nwaves = [["c1"], ["c2"]]\n'
+        )
 
         def say(*words: str) -> tuple[int, str]:
             at = f"127.0.0.1:{f.ports['c0']}"
             process = subprocess.Popen(
                 [sys.executable, "-m", "ashvale", "fleet", "--at", at, "--fleet", NAME, *words],
-                stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+            )
             f.until(lambda: process.poll() is not None, " ".join(words))
             assert process.stdout is not None
             return process.returncode, process.stdout.read()
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -131,7 +131,7 @@
     for number in range(4):
         driver.controller._refused(e, 100.0 * number, 0.0, 100.0 * number + 50.0)
         sizes.append(e.lane.n)
-    assert sizes == [1.0, 0.625, 0.625 ** 2, 0.625 ** 3]
+    assert sizes == [1.0, 0.625, 0.625**2, 0.625**3]
     for number in range(4, 24):
         driver.controller._refused(e, 100.0 * number, 0.0, 100.0 * number + 50.0)
     assert e.lane.n == 0.075
@@ -139,10 +139,12 @@
     assert e.lane.n == pytest.approx(0.135)
 
 
-@pytest.mark.parametrize(("forwarders", "fall", "rise"), [
-    (5, 0.75, 2.0), (20, 0.75, 2.0), (40, 0.625, 1.8), (200, 0.525, 1.64)])
+@pytest.mark.parametrize(
+    ("forwarders", "fall", "rise"), [(5, 0.75, 2.0), (20, 0.75, 2.0), (40, 0.625, 1.8), (200, 0.525, 1.64)]
+)
 def test_only_where_very_many_share_a_limit_a_ring_falls_fast_and_rises_slowly(
-        forwarders: int, fall: float, rise: float) -> None:
+    forwarders: int, fall: float, rise: float
+) -> None:
     """Guards a handful of couriers: halved by each refusal they lost a fifth of what they served."""
     driver = started(1, deadline=60000.0, forwarders=forwarders)
     e = driver.controller.endpoints[b"a"]
@@ -216,7 +218,8 @@
 
 @pytest.mark.parametrize(("refused_count", "least"), [(False, 0.8), (True, 0.25)])
 def test_many_forwarders_leave_room_at_a_limit_that_refused_calls_use_up_too(
-        refused_count: bool, least: float) -> None:
+    refused_count: bool, least: float
+) -> None:
     """Guards a partner against forwarders that keep its limit used up by what it refuses: none is served."""
     assert shared(refused_count) > least
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -17,14 +17,32 @@
 from tests.test_config_language import read
 
 words = st.sampled_from(["a", "b", "c"])
-patterns = st.sampled_from(["x@a.example", "X@A.example", "*@a.example", "*@b.example", "*", "y*@*",
-                            "?@a.example", "*@*.example", "[xy]@b.example"])
+patterns = st.sampled_from(
+    [
+        "x@a.example",
+        "X@A.example",
+        "*@a.example",
+        "*@b.example",
+        "*",
+        "y*@*",
+        "?@a.example",
+        "*@*.example",
+        "[xy]@b.example",
+    ]
+)
 addresses = st.sampled_from(["x@a.example", "y@b.example", "yy@c.example", "", "x", "Y@B.EXAMPLE"])
 minutes = st.integers(0, DAY)
 spans = st.lists(st.tuples(minutes, minutes).filter(lambda s: s[0] != s[1]), max_size=2)
-routes = st.builds(Route, st.just("r"), st.frozensets(words, max_size=2), st.frozensets(words, max_size=2),
-                   st.frozensets(words, max_size=3), st.lists(patterns, max_size=2).map(tuple),
-                   st.lists(patterns, max_size=2).map(tuple), spans.map(tuple))
+routes = st.builds(
+    Route,
+    st.just("r"),
+    st.frozensets(words, max_size=2),
+    st.frozensets(words, max_size=2),
+    st.frozensets(words, max_size=3),
+    st.lists(patterns, max_size=2).map(tuple),
+    st.lists(patterns, max_size=2).map(tuple),
+    spans.map(tuple),
+)
 facts = st.builds(Facts, words, words, words, addresses, addresses, st.integers(0, DAY - 1))
 
 
@@ -49,43 +67,71 @@
 
 
 def test_routes_of_one_shape_cost_one_probe() -> None:
-    router = Router([Route(f"r{n}", destinations=frozenset({str(n)}), recipients=(f"*@d{n}.example",))
-                     for n in range(5000)] + [Route("rest")])
+    router = Router(
+        [
+            Route(f"r{n}", destinations=frozenset({str(n)}), recipients=(f"*@d{n}.example",))
+            for n in range(5000)
+        ]
+        + [Route("rest")]
+    )
     assert router.shapes == 2
     found = router.find(Facts(destination="4321", recipient="u@d4321.example"))
     assert found is not None and found.name == "r4321"
     assert router.find(Facts(destination="4321", recipient="u@d1.example")) is router.routes[-1]
 
 
-@pytest.mark.parametrize(("minute", "spans_", "inside"), [
-    (480, ((480, 1200),), True), (1200, ((480, 1200),), False), (1380, ((1320, 360),), True),
-    (359, ((1320, 360),), True), (360, ((1320, 360),), False), (1439, ((1080, 1440),), True),
-    (0, ((1080, 1440),), False), (5, ((60, 120), (0, 10)), True)])
+@pytest.mark.parametrize(
+    ("minute", "spans_", "inside"),
+    [
+        (480, ((480, 1200),), True),
+        (1200, ((480, 1200),), False),
+        (1380, ((1320, 360),), True),
+        (359, ((1320, 360),), True),
+        (360, ((1320, 360),), False),
+        (1439, ((1080, 1440),), True),
+        (0, ((1080, 1440),), False),
+        (5, ((60, 120), (0, 10)), True),
+    ],
+)
 def test_hours(minute: int, spans_: tuple[tuple[int, int], ...], inside: bool) -> None:
     assert in_hours(minute, spans_) is inside
 
 
-conditions = st.fixed_dictionaries({}, optional={
-    "classes": st.lists(words, min_size=1, max_size=2, unique=True),
-    "destinations": st.lists(words, min_size=1, max_size=2, unique=True),
-    "recipients": st.lists(patterns, min_size=1, max_size=2, unique=True)})
+conditions = st.fixed_dictionaries(
+    {},
+    optional={
+        "classes": st.lists(words, min_size=1, max_size=2, unique=True),
+        "destinations": st.lists(words, min_size=1, max_size=2, unique=True),
+        "recipients": st.lists(patterns, min_size=1, max_size=2, unique=True),
+    },
+)
 
 
 @given(st.lists(conditions, max_size=8))
 def test_shadowed_routes_are_found_as_by_comparing_all(made: list[dict[str, list[str]]]) -> None:
     text = "".join(f'[class.{c}]\nrepeat = "safe"\ndeadline = "1 s"\n' for c in "abc") + "".join(
         f'[[route]]\nname = "r{n}"\nrefuse = "1 s"\n' + "".join(f"{k} = {v}\n" for k, v in route.items())
-        for n, route in enumerate(made))
+        for n, route in enumerate(made)
+    )
     loaded, found = read({"main.toml": text.encode()})
-    slow = [r.place for n, r in enumerate(loaded.routes) if any(
-        all(check._covers(earlier, r, key) for key in check.CONDITIONS) for earlier in loaded.routes[:n])]
+    slow = [
+        r.place
+        for n, r in enumerate(loaded.routes)
+        if any(
+            all(check._covers(earlier, r, key) for key in check.CONDITIONS) for earlier in loaded.routes[:n]
+        )
+    ]
     assert [m.place for m in found if m.code == "E0161"] == slow
 
 
 # Pools
 
-POOL = Route("r", pool="p", tiers=((("a", 3), ("b", 1)), (("c", 1), ("z", 0)), (("d", 1),)),
-             spill=frozenset({"shut", "full"}))
+POOL = Route(
+    "r",
+    pool="p",
+    tiers=((("a", 3), ("b", 1)), (("c", 1), ("z", 0)), (("d", 1),)),
+    spill=frozenset({"shut", "full"}),
+)
 
 
 def counts(state: dict[str, str], route: Route = POOL, most: int = 4000) -> Counter[str]:
@@ -102,11 +148,16 @@
         assert before and after and (before.partner == after.partner or before.partner == "b")
 
 
-@pytest.mark.parametrize(("state", "partners", "tier"), [
-    ({"a": "shut"}, {"b"}, 1), ({"a": "shut", "b": "full"}, {"c"}, 2),
-    ({"a": "waiting", "b": "waiting"}, {"a", "b"}, 1),  # the pool does not spill for a wait
-    ({"a": "shut", "b": "shut", "c": "full"}, {"d"}, 3),
-    ({"a": "shut", "b": "shut", "c": "shut", "d": "shut"}, {"a", "b"}, 1)])
+@pytest.mark.parametrize(
+    ("state", "partners", "tier"),
+    [
+        ({"a": "shut"}, {"b"}, 1),
+        ({"a": "shut", "b": "full"}, {"c"}, 2),
+        ({"a": "waiting", "b": "waiting"}, {"a", "b"}, 1),  # the pool does not spill for a wait
+        ({"a": "shut", "b": "shut", "c": "full"}, {"d"}, 3),
+        ({"a": "shut", "b": "shut", "c": "shut", "d": "shut"}, {"a", "b"}, 1),
+    ],
+)
 def test_spill(state: dict[str, str], partners: set[str], tier: int) -> None:
     assert counts(state, most=300).keys() == partners
     choice = choose(POOL, "m", lambda name: state.get(name, ""))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -39,6 +39,7 @@
 
 def test_an_endpoint_that_drains_and_is_listed_again_and_again_delays_no_trial_of_its_kin() -> None:
     """Guards a destination that is out against lists: each pushed its next trial out by another pause."""
+
     def tried(*more: api.Listing) -> float:
         driver = started(line("a"))
         message(driver, 1)
@@ -193,8 +194,15 @@
     message(driver, 1)
     driver.settle(1, 0, Outcome.OK)
     odd: tuple[api.Event, ...] = (
-        api.Withdrawn(1), api.Withdrawn(99), api.Timer(12345), api.Note(2, b"x"), api.Started(77, 0),
-        api.Settled(1, 0, b"a", Outcome.OK, 1.0, True), api.Probed(b"zz", Outcome.OK, 1.0), listed(line("a")))
+        api.Withdrawn(1),
+        api.Withdrawn(99),
+        api.Timer(12345),
+        api.Note(2, b"x"),
+        api.Started(77, 0),
+        api.Settled(1, 0, b"a", Outcome.OK, 1.0, True),
+        api.Probed(b"zz", Outcome.OK, 1.0),
+        listed(line("a")),
+    )
     for event in odd:
         driver.feed(event)
     assert len(driver.of(api.Send)) == 1
@@ -248,13 +256,18 @@
 def test_what_an_earlier_life_sent_counts_for_limit_and_window() -> None:
     """Guards rule two across a restart: attempts and the first that may have run come with the message."""
     for attempts, ran_at, cls, sent, last in (
-            (5, None, SAFE, 0, api.Refuse), (4, None, SAFE, 1, api.Send),
-            (1, -5000.0, KEYED, 0, api.Refuse), (1, -1000.0, KEYED, 1, api.Send),
-            (1, -1000.0, UNSAFE, 0, api.Fail), (1, None, UNSAFE, 1, api.Send)):
+        (5, None, SAFE, 0, api.Refuse),
+        (4, None, SAFE, 1, api.Send),
+        (1, -5000.0, KEYED, 0, api.Refuse),
+        (1, -1000.0, KEYED, 1, api.Send),
+        (1, -1000.0, UNSAFE, 0, api.Fail),
+        (1, None, UNSAFE, 1, api.Send),
+    ):
         controller = Driver(settings()).controller
         controller.handle(listed(line("a")), 0.0)
-        actions = controller.handle(api.NewMessage(
-            1, CLASSES.index(cls), 1, 12000.0, attempts=attempts, ran_at=ran_at), 0.0)
+        actions = controller.handle(
+            api.NewMessage(1, CLASSES.index(cls), 1, 12000.0, attempts=attempts, ran_at=ran_at), 0.0
+        )
         told = [action for action in actions if not isinstance(action, api.Wake)]
         assert [type(action) for action in told] == [last], (attempts, ran_at, cls.name)
         assert len([a for a in told if isinstance(a, api.Send)]) == sent
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -54,8 +54,11 @@
 def whole(t: Trace) -> bool:
     """Spans without gap or overlap are lengths that add up; each attempt has one span at most."""
     refs = [span.ref for span in t.spans if span.kind is Kind.ATTEMPT]
-    return (sum(round(span.ms * 10) for span in t.spans) == round(t.total * 10)
-            and refs == sorted(set(refs)) and all(0 <= ref < len(t.attempts) for ref in refs))
+    return (
+        sum(round(span.ms * 10) for span in t.spans) == round(t.total * 10)
+        and refs == sorted(set(refs))
+        and all(0 <= ref < len(t.attempts) for ref in refs)
+    )
 
 
 def test_a_message_that_meets_all_sorts_is_told_hop_by_hop() -> None:
@@ -110,6 +113,7 @@
 def test_members_of_a_batch_fare_differently_and_each_has_its_own_trace() -> None:
     ends = {0: "refused", 3: "failed", 5: "over", 7: "spent"}
     with scene() as s:
+
         def usual(call: Any) -> bytes:
             if call.path != "/hook/batch":
                 return answer(200)
@@ -122,8 +126,20 @@
         tracing(s)
         courier = s.start()
         courier.exchange.settings = api.Settings(**{**vars(courier.exchange.settings), "tick_ms": 60.0})
-        commands = [Command(f"m{n}", "platform", "rate-update", "1", "home", "", s.loop.now() + 9000.0, b"x",
-                            traceparent=PARENT if n == 1 else "") for n in range(1, 11)]
+        commands = [
+            Command(
+                f"m{n}",
+                "platform",
+                "rate-update",
+                "1",
+                "home",
+                "",
+                s.loop.now() + 9000.0,
+                b"x",
+                traceparent=PARENT if n == 1 else "",
+            )
+            for n in range(1, 11)
+        ]
         for command in commands:
             courier.exchange.take(command)
         settled(s)
@@ -139,13 +155,17 @@
             assert (t.attempts[0].outcome, t.end) == ("ok", End.DELIVERED) or n in ends
 
 
-@pytest.mark.parametrize(("script", "outcome", "marks"), [
-    (DROP, "reset", (True, False)),                       # after the last byte
-    (b"HTTP/1.1 200 so\r\nContent-Le", "ok", (True, True)),  # the first line says it
-    (b"HTTP/1.", "reset", (True, True)),                  # at the first bytes of the answer
-])
-def test_a_connection_that_breaks_leaves_the_right_marks(script: bytes | str, outcome: str,
-                                                         marks: tuple[bool, bool]) -> None:
+@pytest.mark.parametrize(
+    ("script", "outcome", "marks"),
+    [
+        (DROP, "reset", (True, False)),  # after the last byte
+        (b"HTTP/1.1 200 so\r\nContent-Le", "ok", (True, True)),  # the first line says it
+        (b"HTTP/1.", "reset", (True, True)),  # at the first bytes of the answer
+    ],
+)
+def test_a_connection_that_breaks_leaves_the_right_marks(
+    script: bytes | str, outcome: str, marks: tuple[bool, bool]
+) -> None:
     with scene() as s:
         s.endpoint(script)
         tracing(s)
@@ -217,7 +237,10 @@
         t = traces(s)["m1"]  # its aim lay in the past, so it is late and kept
         assert whole(t) and t.flag(codec.RESUMED) and not t.flag(codec.CLOCK_STEPPED)
         assert [(a.number, a.outcome, a.earlier) for a in t.attempts] == [
-            (1, "error", True), (2, "out", True), (3, "ok", False)]
+            (1, "error", True),
+            (2, "out", True),
+            (3, "ok", False),
+        ]
         down = [span for span in t.spans if span.kind is Kind.DOWN]
         assert len(down) == 1 and down[0].ms >= 250.0
         kinds = [span.kind for span in t.spans]
@@ -281,8 +304,9 @@
 
 
 @pytest.mark.parametrize("harm", ["folder", "disk", "fault"])
-def test_nothing_that_befalls_tracing_befalls_a_message(harm: str, monkeypatch: pytest.MonkeyPatch,
-                                                        caplog: pytest.LogCaptureFixture) -> None:
+def test_nothing_that_befalls_tracing_befalls_a_message(
+    harm: str, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     with scene() as s:
         endpoint = s.endpoint()
         tracing(s)
@@ -293,8 +317,10 @@
             shutil.rmtree(s.folder / "trace")
             tracer._tidy_at = 0.0
         elif harm == "disk":
+
             def full(*_: object) -> int:
                 raise OSError(28, "no space left")
+
             monkeypatch.setattr("ashvale.trace.store.os.write", full)
             monkeypatch.setattr("ashvale.journal.os.write", __import__("posix").write)
         else:
@@ -344,13 +370,20 @@
 # Mail
 
 
-@pytest.mark.parametrize(("body", "headers", "found"), [
-    (b"A: 1\r\n\r\nx\r\n", [], b"A: 1\r\n\r\nx\r\n"),
-    (b"A: 1\r\n\r\nx\r\n", [("traceparent", "p")], b"Traceparent: p\r\nA: 1\r\n\r\nx\r\n"),
-    (b"A: 1\r\nTRACEPARENT: old\r\n folded\r\nB: 2\r\n\r\ntraceparent: body\r\n", [("traceparent", "p")],
-     b"Traceparent: p\r\nA: 1\r\nB: 2\r\n\r\ntraceparent: body\r\n"),
-    (b"\r\nx\r\n", [("traceparent", "p")], b"Traceparent: p\r\n\r\nx\r\n"),
-    (b"no head\r\n", [("traceparent", "p")], b"Traceparent: p\r\n\r\nno head\r\n")])
+@pytest.mark.parametrize(
+    ("body", "headers", "found"),
+    [
+        (b"A: 1\r\n\r\nx\r\n", [], b"A: 1\r\n\r\nx\r\n"),
+        (b"A: 1\r\n\r\nx\r\n", [("traceparent", "p")], b"Traceparent: p\r\nA: 1\r\n\r\nx\r\n"),
+        (
+            b"A: 1\r\nTRACEPARENT: old\r\n folded\r\nB: 2\r\n\r\ntraceparent: body\r\n",
+            [("traceparent", "p")],
+            b"Traceparent: p\r\nA: 1\r\nB: 2\r\n\r\ntraceparent: body\r\n",
+        ),
+        (b"\r\nx\r\n", [("traceparent", "p")], b"Traceparent: p\r\n\r\nx\r\n"),
+        (b"no head\r\n", [("traceparent", "p")], b"Traceparent: p\r\n\r\nno head\r\n"),
+    ],
+)
 def test_headers_over_mail(body: bytes, headers: list[tuple[str, str]], found: bytes) -> None:
     assert mail.with_headers(body, headers) == found
 
@@ -363,15 +396,17 @@
     partner = Partner(loop)
     file = tmp_path / "mail.toml"
     file.write_text(rehearsal.set_up(partner.address[1]))
-    courier = Courier(config.load({
-        "ASHVALE_MAIL": str(file), "LB_STATE": str(tmp_path), "ASHVALE_SETTINGS": str(setup)}), loop)
+    courier = Courier(
+        config.load({"ASHVALE_MAIL": str(file), "LB_STATE": str(tmp_path), "ASHVALE_SETTINGS": str(setup)}),
+        loop,
+    )
     assert courier.mail is not None
     client = Client(loop, courier.mail.listeners[0].address)
     text = f"Traceparent: {PARENT}\r\nMessage-ID: <1@x>\r\n\r\nhello\r\n"
     replies = run(loop, client.send("x@home.example", [rehearsal.RATE], text.encode(), False))
     assert replies[0].startswith("250")
     courier.halt()
-    t, = read_all(tmp_path / "trace", Stock())
+    (t,) = read_all(tmp_path / "trace", Stock())
     assert t.trace_id == PARENT[3:35] and t.front == "mail" and whole(t) and t.attempts[0].outcome == "ok"
     body = partner.deliveries[0].body
     assert (t.context.attempt(1).encode() in body) is told and (PARENT.encode() in body) is not told
@@ -407,8 +442,15 @@
 
     def __init__(self, folder: Path, **keys: Any) -> None:
         self.loop = Clock()
-        settings = api.Settings(classes=(SAFE, KEYED, ORDERED), kinds=(api.Kind("hub", per_call=3),), slots=6,
-                                max_open=500, max_attempts=5, tick_ms=2.0, order_settle_ms=200.0)
+        settings = api.Settings(
+            classes=(SAFE, KEYED, ORDERED),
+            kinds=(api.Kind("hub", per_call=3),),
+            slots=6,
+            max_open=500,
+            max_attempts=5,
+            tick_ms=2.0,
+            order_settle_ms=200.0,
+        )
         self.exchange = Exchange(self.loop, settings, 1, Journal(folder, 5_000_000))
         self.exchange._wall = HERE_START
         self.exchange.fronts["f"] = self  # type: ignore[assignment]
@@ -423,8 +465,10 @@
         self.withdrawn: set[str] = set()
 
     def list(self, dests: int, ready: bool = True) -> None:
-        self.exchange.instances_known(api.ListKind.FULL, [
-            Instance(f"e{n}", str(n), ("127.0.0.1", 1), "hub", ready=ready) for n in range(dests)])
+        self.exchange.instances_known(
+            api.ListKind.FULL,
+            [Instance(f"e{n}", str(n), ("127.0.0.1", 1), "hub", ready=ready) for n in range(dests)],
+        )
 
     def take(self, id: str, dest: int, cls: str = "safe", ms: float = 5000.0) -> None:
         now = self.loop.now()
@@ -462,13 +506,17 @@
         return {t.id: t for t in read_all(self.tracer.setup.folder, Stock())}
 
 
-MOVES = st.lists(st.one_of(
-    st.tuples(st.just("take"), st.integers(0, 3), st.sampled_from(["safe", "keyed", "ordered"])),
-    st.tuples(st.just("wait"), st.floats(0.5, 900.0), st.none()),
-    st.tuples(st.just("end"), st.integers(0, 20), st.sampled_from(list(Outcome))),
-    st.tuples(st.just("list"), st.integers(0, 4), st.booleans()),
-    st.tuples(st.just("withdraw"), st.integers(0, 20), st.none()),
-    st.tuples(st.just("tell"), st.integers(0, 20), st.booleans())), max_size=60)
+MOVES = st.lists(
+    st.one_of(
+        st.tuples(st.just("take"), st.integers(0, 3), st.sampled_from(["safe", "keyed", "ordered"])),
+        st.tuples(st.just("wait"), st.floats(0.5, 900.0), st.none()),
+        st.tuples(st.just("end"), st.integers(0, 20), st.sampled_from(list(Outcome))),
+        st.tuples(st.just("list"), st.integers(0, 4), st.booleans()),
+        st.tuples(st.just("withdraw"), st.integers(0, 20), st.none()),
+        st.tuples(st.just("tell"), st.integers(0, 20), st.booleans()),
+    ),
+    max_size=60,
+)
 
 
 @given(MOVES)
@@ -542,8 +590,11 @@
             world.tell(world.untold.pop())
     store = world.tracer.store
     assert store is not None and not store.missing
-    late = sum(1 for id, state in world.ends.items()
-               if state != "delivered" or world.life[id][1] - world.life[id][0] > 1003.0)
+    late = sum(
+        1
+        for id, state in world.ends.items()
+        if state != "delivered" or world.life[id][1] - world.life[id][0] > 1003.0
+    )
     found = [t for t in read_all(tmp_path / "trace", Stock()) if t.wrong]
     assert late <= len(found) and late > 10_000 and all(whole(t) for t in found)
     used = sum(p.stat().st_size for p in (tmp_path / "trace" / "n1").iterdir())
@@ -609,14 +660,27 @@
 # Settings
 
 
-@pytest.mark.parametrize(("text", "key"), [
-    ("[trace]\nshare = '200 %'", "share"), ("[trace]\nshare = '-1 %'", "share"),
-    ("[trace]\nshare = 0.01", "share"), ("[trace]\nbudget = '10 KB'", "budget"),
-    ("[trace]\nbudget = '512'", "budget"),
-    ("[trace]\nenabled = 1", "enabled"), ("[trace]\nfolder = 5", "folder"), ("[trace]\nshear = 1", "shear"),
-    ("[tracing]\n", "tracing"), ("trace = 5", "trace"), ("[trace]\nslowest = -1", "slowest"),
-    ("[trace]\nage = '0 s'", "age"), ("[trace]\nlive = 0", "live"), ("[trace]\ndetails = 1.5", "details"),
-    ("[trace]\nenabled = true\nbudget = '2 MB'", "budget"), ("[trace\n", "TOML")])
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("[trace]\nshare = '200 %'", "share"),
+        ("[trace]\nshare = '-1 %'", "share"),
+        ("[trace]\nshare = 0.01", "share"),
+        ("[trace]\nbudget = '10 KB'", "budget"),
+        ("[trace]\nbudget = '512'", "budget"),
+        ("[trace]\nenabled = 1", "enabled"),
+        ("[trace]\nfolder = 5", "folder"),
+        ("[trace]\nshear = 1", "shear"),
+        ("[tracing]\n", "tracing"),
+        ("trace = 5", "trace"),
+        ("[trace]\nslowest = -1", "slowest"),
+        ("[trace]\nage = '0 s'", "age"),
+        ("[trace]\nlive = 0", "live"),
+        ("[trace]\ndetails = 1.5", "details"),
+        ("[trace]\nenabled = true\nbudget = '2 MB'", "budget"),
+        ("[trace\n", "TOML"),
+    ],
+)
 def test_a_wrong_key_is_named(tmp_path: Path, text: str, key: str) -> None:
     with scene() as s:
         s.environ["ASHVALE_SETTINGS"] = str(tmp_path / "own.toml")
--- a/tests/test_trace_parts.py
+++ b/tests/test_trace_parts.py
@@ -30,18 +30,37 @@
 GOOD = f"00-{ID}-{PARENT}-01"
 
 
-@pytest.mark.parametrize(("text", "found"), [
-    (GOOD, Context(ID, PARENT, True)), (f" {GOOD}\t", Context(ID, PARENT, True)),
-    (f"00-{ID}-{PARENT}-00", Context(ID, PARENT)), (f"00-{ID}-{PARENT}-fe", Context(ID, PARENT)),
-    (f"cc-{ID}-{PARENT}-01", Context(ID, PARENT, True)),
-    (f"cc-{ID}-{PARENT}-01-more", Context(ID, PARENT, True)),
-    (f"00-{ID}-{PARENT}-01-more", None), (f"ff-{ID}-{PARENT}-01", None),
-    (f"00-{'0' * 32}-{PARENT}-01", None), (f"00-{ID}-{'0' * 16}-01", None), (GOOD.upper(), None),
-    (GOOD[:-1], None), (GOOD + "0", None), ("", None),
-    (f"00-{ID[:-1]}-{PARENT}-01", None), (f"00-{ID}-{PARENT}-0x", None), (f"0-{ID}-{PARENT}-01", None),
-    (f"00_{ID}_{PARENT}_01", None), (GOOD.replace("0af7", "0ag7"), None), (f"{GOOD},{GOOD}", None),
-    (f"cc-{ID}-{PARENT}-01-" + "x" * 9000, None), (GOOD + "\n", None), (f"00-{ID}-{PARENT}-01\0", None),
-    ("\xff" * 55, None), ("٠٠" + GOOD[2:], None)], ids=lambda value: str(value)[:30])
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        (GOOD, Context(ID, PARENT, True)),
+        (f" {GOOD}\t", Context(ID, PARENT, True)),
+        (f"00-{ID}-{PARENT}-00", Context(ID, PARENT)),
+        (f"00-{ID}-{PARENT}-fe", Context(ID, PARENT)),
+        (f"cc-{ID}-{PARENT}-01", Context(ID, PARENT, True)),
+        (f"cc-{ID}-{PARENT}-01-more", Context(ID, PARENT, True)),
+        (f"00-{ID}-{PARENT}-01-more", None),
+        (f"ff-{ID}-{PARENT}-01", None),
+        (f"00-{'0' * 32}-{PARENT}-01", None),
+        (f"00-{ID}-{'0' * 16}-01", None),
+        (GOOD.upper(), None),
+        (GOOD[:-1], None),
+        (GOOD + "0", None),
+        ("", None),
+        (f"00-{ID[:-1]}-{PARENT}-01", None),
+        (f"00-{ID}-{PARENT}-0x", None),
+        (f"0-{ID}-{PARENT}-01", None),
+        (f"00_{ID}_{PARENT}_01", None),
+        (GOOD.replace("0af7", "0ag7"), None),
+        (f"{GOOD},{GOOD}", None),
+        (f"cc-{ID}-{PARENT}-01-" + "x" * 9000, None),
+        (GOOD + "\n", None),
+        (f"00-{ID}-{PARENT}-01\0", None),
+        ("\xff" * 55, None),
+        ("٠٠" + GOOD[2:], None),
+    ],
+    ids=lambda value: str(value)[:30],
+)
 def test_a_hostile_parent_starts_a_trace_of_its_own(text: str, found: Context | None) -> None:
     assert context.parse_parent(text) == found
     joined = context.join(text, "a=1", bytes(range(16)))
@@ -49,10 +68,25 @@
     assert joined.state == ("a=1" if found else "")
 
 
-@pytest.mark.parametrize(("text", "kept"), [
-    ("a=1", "a=1"), (" a=1 ,\tb@c=x y ", "a=1,b@c=x y"), ("a=1,,b=2", "a=1,b=2"), ("a=1,a=2", ""),
-    ("a", ""), ("A=1", ""), ("a=", ""), ("a=1,b=\x01", ""), ("a=b=c", ""), ("a=1;b", "a=1;b"), ("é=1", ""),
-    (",".join(f"k{n}=v" for n in range(33)), ""), ("a=" + "x" * 300, ""), ("\r\nX: y", "")])
+@pytest.mark.parametrize(
+    ("text", "kept"),
+    [
+        ("a=1", "a=1"),
+        (" a=1 ,\tb@c=x y ", "a=1,b@c=x y"),
+        ("a=1,,b=2", "a=1,b=2"),
+        ("a=1,a=2", ""),
+        ("a", ""),
+        ("A=1", ""),
+        ("a=", ""),
+        ("a=1,b=\x01", ""),
+        ("a=b=c", ""),
+        ("a=1;b", "a=1;b"),
+        ("é=1", ""),
+        (",".join(f"k{n}=v" for n in range(33)), ""),
+        ("a=" + "x" * 300, ""),
+        ("\r\nX: y", ""),
+    ],
+)
 def test_tracestate(text: str, kept: str) -> None:
     assert context.parse_state(text) == kept
 
@@ -78,10 +112,22 @@
 NOW = 1_796_128_000_000.0
 
 
-@pytest.mark.parametrize(("text", "at"), [
-    ("t=1796127999.5", NOW - 500), ("1796127999500", NOW - 500), ("t=1796127999500000", NOW - 500),
-    ("t=1796128000.1", None), ("t=1796100000", None), ("soon", None), ("", None), ("t=-5", None),
-    ("t=nan", None), ("t=" + "9" * 40, None), ("t=1796127999,5", None)])
+@pytest.mark.parametrize(
+    ("text", "at"),
+    [
+        ("t=1796127999.5", NOW - 500),
+        ("1796127999500", NOW - 500),
+        ("t=1796127999500000", NOW - 500),
+        ("t=1796128000.1", None),
+        ("t=1796100000", None),
+        ("soon", None),
+        ("", None),
+        ("t=-5", None),
+        ("t=nan", None),
+        ("t=" + "9" * 40, None),
+        ("t=1796127999,5", None),
+    ],
+)
 def test_the_hand_in_is_known_or_unknown_and_never_guessed(text: str, at: float | None) -> None:
     assert context.hand_in(text, NOW, 16000.0) == at
 
@@ -89,13 +135,21 @@
 # Spans
 
 
-steps = st.lists(st.tuples(st.floats(-50.0, 500.0), st.sampled_from(list(Kind)),
-                           st.sampled_from(list(Reason)), st.integers(-1, 3)), max_size=120)
+steps = st.lists(
+    st.tuples(
+        st.floats(-50.0, 500.0),
+        st.sampled_from(list(Kind)),
+        st.sampled_from(list(Reason)),
+        st.integers(-1, 3),
+    ),
+    max_size=120,
+)
 
 
 @given(st.floats(0.0, 1e9), steps, st.floats(0.0, 100.0))
-def test_spans_meet_whatever_comes(start: float, moves: list[tuple[float, Kind, Reason, int]],
-                                   more: float) -> None:
+def test_spans_meet_whatever_comes(
+    start: float, moves: list[tuple[float, Kind, Reason, int]], more: float
+) -> None:
     """No gap, no overlap, one end: the sum over the spans is the life, however times and kinds may come."""
     life, latest = Life(start), start
     for step, kind, reason, ref in moves:
@@ -122,12 +176,29 @@
     assert life.total == 4000.0 == sum(s.ms for s in life.spans) and life.shed > 300
 
 
-@pytest.mark.parametrize(("spans", "place"), [
-    ([], None), ([Span(Kind.DOOR, Reason.NONE, 1.0)], 0),
-    ([Span(Kind.WAIT, Reason.RING, 30.0), Span(Kind.ATTEMPT, Reason.NONE, 50.0),
-      Span(Kind.WAIT, Reason.RING, 40.0)], 2),
-    ([Span(Kind.ATTEMPT, Reason.NONE, 99.0), Span(Kind.WAIT, Reason.RING, 40.0),
-      Span(Kind.WAIT, Reason.PAUSE, 40.0)], 0)])
+@pytest.mark.parametrize(
+    ("spans", "place"),
+    [
+        ([], None),
+        ([Span(Kind.DOOR, Reason.NONE, 1.0)], 0),
+        (
+            [
+                Span(Kind.WAIT, Reason.RING, 30.0),
+                Span(Kind.ATTEMPT, Reason.NONE, 50.0),
+                Span(Kind.WAIT, Reason.RING, 40.0),
+            ],
+            2,
+        ),
+        (
+            [
+                Span(Kind.ATTEMPT, Reason.NONE, 99.0),
+                Span(Kind.WAIT, Reason.RING, 40.0),
+                Span(Kind.WAIT, Reason.PAUSE, 40.0),
+            ],
+            0,
+        ),
+    ],
+)
 def test_the_cause_is_what_took_the_most_time(spans: list[Span], place: int | None) -> None:
     assert cause(spans) == place
 
@@ -153,15 +224,23 @@
     "no endpoint": ([arrives(1, 0.0)], 1.0, [Reason.NO_ENDPOINT]),
     "its turn": ([LISTED], 1.0, [Reason.TURN]),
     "draining": ([(0.0, listed(listing("a", ready=api.Readiness.DRAINING)))], 1.0, [Reason.NO_ENDPOINT]),
-    "told wait, then ring": ([LISTED, arrives(1, 1.0), ends(1, 11.0, api.Outcome.FULL, 700.0)], 12.0,
-                             [Reason.TOLD_WAIT, Reason.PAUSE, Reason.RING, Reason.TURN]),
-    "own pause, then ring": ([LISTED, arrives(1, 1.0), ends(1, 11.0, api.Outcome.FULL)], 12.0,
-                             [Reason.PAUSE, Reason.RING, Reason.TURN]),
-    "held to fail": ([LISTED, arrives(1, 1.0), ends(1, 11.0, api.Outcome.ERROR)], 12.0,
-                     [Reason.HELD_OUT, Reason.TURN]),
+    "told wait, then ring": (
+        [LISTED, arrives(1, 1.0), ends(1, 11.0, api.Outcome.FULL, 700.0)],
+        12.0,
+        [Reason.TOLD_WAIT, Reason.PAUSE, Reason.RING, Reason.TURN],
+    ),
+    "own pause, then ring": (
+        [LISTED, arrives(1, 1.0), ends(1, 11.0, api.Outcome.FULL)],
+        12.0,
+        [Reason.PAUSE, Reason.RING, Reason.TURN],
+    ),
+    "held to fail": (
+        [LISTED, arrives(1, 1.0), ends(1, 11.0, api.Outcome.ERROR)],
+        12.0,
+        [Reason.HELD_OUT, Reason.TURN],
+    ),
     "slots": ([LISTED, *(arrives(n, 1.0) for n in range(1, 9))], 2.0, [Reason.NO_SLOT]),
-    "overdue": ([LISTED, arrives(1, 1.0), arrives(2, 1040.0)], 1050.0,
-                [Reason.OVERDUE, Reason.TURN]),
+    "overdue": ([LISTED, arrives(1, 1.0), arrives(2, 1040.0)], 1050.0, [Reason.OVERDUE, Reason.TURN]),
     "two overdue": ([LISTED, arrives(1, 1.0), arrives(2, 2.0)], 1600.0, [Reason.HELD_OUT, Reason.TURN]),
     "about to end": ([LISTED, (5.0, api.Closing(8.0))], 9.0, [Reason.CLOSING]),
 }
@@ -196,11 +275,20 @@
         assert any(isinstance(action, api.Send) for action in actions) is goes
 
 
-@given(st.lists(st.tuples(st.floats(1.0, 50.0), st.lists(st.tuples(
-    st.floats(1.0, 80.0), st.sampled_from(list(Reason))), max_size=3)), max_size=40), st.floats(0, 900),
-    st.floats(0.1, 900))
-def test_a_timeline_reads_back_without_gap(looks: list[tuple[float, list[tuple[float, Reason]]]],
-                                           start: float, length: float) -> None:
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(1.0, 50.0),
+            st.lists(st.tuples(st.floats(1.0, 80.0), st.sampled_from(list(Reason))), max_size=3),
+        ),
+        max_size=40,
+    ),
+    st.floats(0, 900),
+    st.floats(0.1, 900),
+)
+def test_a_timeline_reads_back_without_gap(
+    looks: list[tuple[float, list[tuple[float, Reason]]]], start: float, length: float
+) -> None:
     line, now = Timeline(), 0.0
     for step, foreseen in looks:
         now += step
@@ -224,11 +312,19 @@
     assert all(sampling.chosen(i, 1.0) for i in ids) and not any(sampling.chosen(i, 0.0) for i in ids)
 
 
-@pytest.mark.parametrize(("end", "late", "sampled", "kept"), [
-    (End.DELIVERED, -5.0, False, Rank.DROP), (End.DELIVERED, -5.0, True, Rank.SAMPLE),
-    (End.DELIVERED, 0.1, False, Rank.KEPT), (End.FAILED, 0.0, False, Rank.KEPT),
-    (End.RETURNED, 0.0, True, Rank.KEPT), (End.REFUSED, 0.0, False, Rank.KEPT),
-    (End.WITHDRAWN, 0.0, False, Rank.KEPT), (End.OPEN, 0.0, False, Rank.KEPT)])
+@pytest.mark.parametrize(
+    ("end", "late", "sampled", "kept"),
+    [
+        (End.DELIVERED, -5.0, False, Rank.DROP),
+        (End.DELIVERED, -5.0, True, Rank.SAMPLE),
+        (End.DELIVERED, 0.1, False, Rank.KEPT),
+        (End.FAILED, 0.0, False, Rank.KEPT),
+        (End.RETURNED, 0.0, True, Rank.KEPT),
+        (End.REFUSED, 0.0, False, Rank.KEPT),
+        (End.WITHDRAWN, 0.0, False, Rank.KEPT),
+        (End.OPEN, 0.0, False, Rank.KEPT),
+    ],
+)
 def test_what_went_wrong_is_kept(end: End, late: float, sampled: bool, kept: Rank) -> None:
     assert sampling.rank(end, late, sampled) is kept
 
@@ -250,9 +346,14 @@
     assert details.allowed(two, 0.0, 2) and details.allowed(one, 60000.0, 2)
 
 
-@pytest.mark.parametrize(("sizes", "first"), [
-    ({Rank.SAMPLE: 1, Rank.DETAIL: 9, Rank.KEPT: 9}, Rank.SAMPLE),
-    ({Rank.DETAIL: 1, Rank.KEPT: 9}, Rank.DETAIL),
-    ({Rank.SAMPLE: 0, Rank.KEPT: 1}, Rank.KEPT), ({}, None)])
+@pytest.mark.parametrize(
+    ("sizes", "first"),
+    [
+        ({Rank.SAMPLE: 1, Rank.DETAIL: 9, Rank.KEPT: 9}, Rank.SAMPLE),
+        ({Rank.DETAIL: 1, Rank.KEPT: 9}, Rank.DETAIL),
+        ({Rank.SAMPLE: 0, Rank.KEPT: 1}, Rank.KEPT),
+        ({}, None),
+    ],
+)
 def test_ordinary_samples_go_first(sizes: dict[Rank, int], first: Rank | None) -> None:
     assert sampling.first_to_go(sizes) is first
--- a/tests/test_trace_store.py
+++ b/tests/test_trace_store.py
@@ -25,8 +25,22 @@
     attempts = codec.pack_attempts([Attempt(1, f"s-{number % 7}", "reset")], texts)
     front, cls, dest, home = map(texts.number, ("platform", "usage-record", str(number % 5), "home"))
     why = texts.cause(str(number % 5), Kind.ATTEMPT, 0, f"s-{number % 7}")
-    return Message(number.to_bytes(16, "big"), codec.short(f"{number:016x}"), front, cls, dest, home,
-                   End.FAILED, why, start + number, 2000, 16000, 0, codec.pack_spans(spans), attempts)
+    return Message(
+        number.to_bytes(16, "big"),
+        codec.short(f"{number:016x}"),
+        front,
+        cls,
+        dest,
+        home,
+        End.FAILED,
+        why,
+        start + number,
+        2000,
+        16000,
+        0,
+        codec.pack_spans(spans),
+        attempts,
+    )
 
 
 def put(kept: Store, number: int, rank: Rank = Rank.KEPT, start: float = 1000.0) -> None:
@@ -34,8 +48,7 @@
 
 
 def numbers(folder: Path, **wanted: object) -> list[int]:
-    return [int.from_bytes(t.record.trace_id, "big")
-            for t in reader.read_all(folder, Stock(), **wanted)]  # type: ignore[arg-type]
+    return [int.from_bytes(t.record.trace_id, "big") for t in reader.read_all(folder, Stock(), **wanted)]  # type: ignore[arg-type]
 
 
 def opened(folder: Path, budget: int = 10 * LEAST_BYTES) -> Store:
@@ -75,15 +88,14 @@
 def test_every_flipped_byte_is_noticed(segment: Path) -> None:
     data, folder = segment.read_bytes(), segment.parent
     for at in range(len(data)):
-        segment.write_bytes(data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1:])
+        segment.write_bytes(data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1 :])
         traces = list(reader.read_all(folder, Stock()))
         found = [int.from_bytes(t.record.trace_id, "big") for t in traces]
         assert found == list(range(1, len(found) + 1))
         assert all(t.total == 21.0 + n and t.dest == str(n % 5) for t, n in zip(traces, found, strict=True))
 
 
-def test_an_index_leads_to_a_message_past_the_others(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_index_leads_to_a_message_past_the_others(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     kept = opened(tmp_path / "a")
     for number in range(1, 2000):
         put(kept, number)
@@ -97,7 +109,7 @@
     reads.clear()
     assert numbers(tmp_path, since=2900.0) == list(range(1900, 2000))
     assert len(reads) < len(store.listed(tmp_path / "a"))
-    shelf, = reader.shelves(tmp_path)
+    (shelf,) = reader.shelves(tmp_path)
     assert (shelf.messages, shelf.ends) == (1999, {"failed": 1999}) and shelf.segments > 2
 
 
@@ -109,14 +121,23 @@
         rank = (Rank.SAMPLE, Rank.DETAIL, Rank.KEPT)[number % 3] if number < 6000 else Rank.KEPT
         total[rank] += 1
         if rank is Rank.DETAIL:
-            kept.put(rank, 1000.0 + number, lambda texts, n=number: [  # type: ignore[misc]
-                Detail(n.to_bytes(16, "big"), b"x", [1] * 6)])
+            kept.put(
+                rank,
+                1000.0 + number,
+                lambda texts, n=number: [  # type: ignore[misc]
+                    Detail(n.to_bytes(16, "big"), b"x", [1] * 6)
+                ],
+            )
         else:
             put(kept, number, rank)
         size = sum(store.blocks(p.stat().st_size) for p in (tmp_path / "a").iterdir())
         assert size <= LEAST_BYTES
-        trail.append(tuple(  # type: ignore[arg-type]
-            kept.missing[what].count if what in kept.missing else 0 for what in ("sample", "detail", "kept")))
+        trail.append(
+            tuple(  # type: ignore[arg-type]
+                kept.missing[what].count if what in kept.missing else 0
+                for what in ("sample", "detail", "kept")
+            )
+        )
     assert trail[-1][0] == total[Rank.SAMPLE] and trail[-1][1] == total[Rank.DETAIL] and trail[-1][2] > 0
     first = [next(i for i, now in enumerate(trail) if now[at]) for at in range(3)]
     assert first == sorted(first)  # nothing of a rank goes while a lower one is there
@@ -227,10 +248,20 @@
 def test_texts_of_hostile_length_and_number_stay_bounded(tmp_path: Path) -> None:
     kept = opened(tmp_path / "a", 64 * LEAST_BYTES)
     for number in range(6000):
-        kept.put(Rank.KEPT, 1.0, lambda texts, n=number: [  # type: ignore[misc]
-            Message(bytes(16), str(n).encode(), 0, 0, texts.number(f"d{n}"), 0, 2, 0, 1.0, 1, 1, 0, [], [])])
-    kept.put(Rank.KEPT, 1.0, lambda texts: [
-        Message(bytes(16), b"x" * 70000, 0, 0, 0, 0, 2, 0, 1.0, 1, 1, 0, [], [])])
+        kept.put(
+            Rank.KEPT,
+            1.0,
+            lambda texts, n=number: [  # type: ignore[misc]
+                Message(
+                    bytes(16), str(n).encode(), 0, 0, texts.number(f"d{n}"), 0, 2, 0, 1.0, 1, 1, 0, [], []
+                )
+            ],
+        )
+    kept.put(
+        Rank.KEPT,
+        1.0,
+        lambda texts: [Message(bytes(16), b"x" * 70000, 0, 0, 0, 0, 2, 0, 1.0, 1, 1, 0, [], [])],
+    )
     assert kept.missing["untraced"].count == 1
     found = list(reader.read_all(tmp_path, Stock()))
     assert [t.dest for t in found] == [f"d{n}" for n in range(6000)]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,7 +15,8 @@
 
 MINIMAL = {
     "categories": [{"objective_ms": 1000, "give_up_ms": 5000.0, "repeat": "pure"}],
-    "limits": {"most_tries": 3}, "contract": {},
+    "limits": {"most_tries": 3},
+    "contract": {},
 }
 
 
@@ -62,24 +63,31 @@
     assert struct.unpack_from("<HI6s", reply, 17) == (3, 21, b"\x0a\x01\x02\x03\x10\x27")
 
 
-@pytest.mark.parametrize(("data", "told"), [
-    (frame()[:11], "frame header: 11 bytes"),
-    (frame(create())[:-3], "input ends after"),
-    (struct.pack("<IIId", 1, 0, 4, 0.0), "impossible length 4"),
-    (frame(now=float("nan")), "clock is not a number"),
-    (frame(record(99, b"")), "record 0: unknown event code 99"),
-    (frame(message()), "unknown instance 3"),
-    (frame(create(), known(number=5)), "record 1: unknown list 5"),
-    (frame(create(), record(6, b"\x03\x00")), "record 1: fields end"),
-    (frame(create(), record(6, bytes(9))), "3 bytes too many"),
-    (frame(create(), count=2), "record 1: frame ends inside the record's head"),
-    (frame(create(), b"", count=0), "bytes after the last record"),
-    (frame(create({})), "key 'limits' is missing"),
-    (frame(create({**MINIMAL, "limits": {"most_tries": "many"}})), "key 'most_tries' has the wrong type"),
-    (frame(create({**MINIMAL, "categories": [{"repeat": "odd"}]})), "'repeat' has the unknown value 'odd'"),
-])
+@pytest.mark.parametrize(
+    ("data", "told"),
+    [
+        (frame()[:11], "frame header: 11 bytes"),
+        (frame(create())[:-3], "input ends after"),
+        (struct.pack("<IIId", 1, 0, 4, 0.0), "impossible length 4"),
+        (frame(now=float("nan")), "clock is not a number"),
+        (frame(record(99, b"")), "record 0: unknown event code 99"),
+        (frame(message()), "unknown instance 3"),
+        (frame(create(), known(number=5)), "record 1: unknown list 5"),
+        (frame(create(), record(6, b"\x03\x00")), "record 1: fields end"),
+        (frame(create(), record(6, bytes(9))), "3 bytes too many"),
+        (frame(create(), count=2), "record 1: frame ends inside the record's head"),
+        (frame(create(), b"", count=0), "bytes after the last record"),
+        (frame(create({})), "key 'limits' is missing"),
+        (frame(create({**MINIMAL, "limits": {"most_tries": "many"}})), "key 'most_tries' has the wrong type"),
+        (
+            frame(create({**MINIMAL, "categories": [{"repeat": "odd"}]})),
+            "'repeat' has the unknown value 'odd'",
+        ),
+    ],
+)
 def test_malformed_input_ends_with_one_plain_line(
-        data: bytes, told: str, capsys: pytest.CaptureFixture[str]) -> None:
+    data: bytes, told: str, capsys: pytest.CaptureFixture[str]
+) -> None:
     code, reply = run(data)
     text = capsys.readouterr().err
     assert code != 0 and reply == b""
@@ -94,6 +102,7 @@
 def test_an_exception_becomes_the_instances_fault(monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(self: object, event: object, now: float) -> None:
         raise ValueError("odd")
+
     monkeypatch.setattr(adapter.Controller, "handle", broken)
     code, reply = run(frame(create(), table(), known()))
     assert code == 0
