--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 lint: build
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 
 run:
