Keep a cold partner under what makes it fall, whatever the number of couriers

Cause, read from the calls of the worst second: first_ms let trials begin 1.6 to 2 s after a courier's own first failure whatever its part (_next_trial); each endpoint of a partner had to fail before it was held back (_went_out); a courier that calls rarely took the outage for a mishap and skipped the ramp (_came_back). Ruled out: the ramp itself and the ring, which keep to their part.

Change: with more than four couriers an outage counts from the last sign of life, trials keep to the own part and are drawn evenly around it, and two endpoints out with no success since put the whole partner out.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -24,9 +24,8 @@
 OVERDUE = 4.0  # a call is overdue after this multiple of the usual time
 PATIENCE = (6.0, 20.0)  # time-out of a first attempt and of an unsafe one, likewise
 TRIAL_MS = (80.0, 2000.0)  # least pause before a trial call: by each forwarder, and at most
-MISHAP_MS = 2500.0  # failures that pass within this time are a mishap, not an outage
-LOSSY_MS = 10000.0  # after a mishap lost answers alone are no outage for so long
-RAMP_SHARE = 0.9  # part of the permitted fail-back load that is used
+MISHAP_MS, LOSSY_MS = 2500.0, 10000.0  # shorter failures are no outage; nor are lost answers so long after
+RAMP_SHARE = (0.9, 0.3)  # part of the permitted fail-back load that is used; so much less of it by many
 SPARE = 1.5  # what a destination can do, over its usual traffic, at the least
 LOW, RISE = 0.5, 0.4  # under this share of its listed part N doubles; under one less, in vast fleets
 LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
@@ -34,19 +33,7 @@
 RATE_MS = 20000.0  # span over which the usual traffic of a destination is counted
 EDGE_MS, REPEAT_MS = 80.0, 150.0  # left of its time when a message is answered, of its window to a repeat
 ADVICE_MS = 1000.0  # when to come back with a message that was given up
-RENEW_MS = 300.0  # first pause before a failed message or the list is tried again; doubles
-
-
-def worth_at(m: Message, at: float) -> float:
-    """Return what a delivery at this time still earns."""
-    late, least = max(0.0, at - m.aim), m.cls.late_worth
-    even = 1.0 - (1.0 - least) * late / max(1.0, m.deadline - m.aim)
-    left = max(least, 0.5 ** (late / max(1.0, m.cls.aim_ms))) if m.halves else even
-    return m.worth * left if at < m.deadline else 0.0
-
-
-def sends_since(lane: Lane, at: float) -> int:
-    return next((i for i, sent in enumerate(reversed(lane.ring)) if sent <= at), len(lane.ring))
+RENEW_MS = 300.0  # first pause before a failed message is tried again; doubles. The list: three at most
 
 
 def gate(lane: Lane) -> float:
@@ -83,7 +70,7 @@
         self.starved: dict[int, None] = {}  # destinations that wait for a slot
         self.crowded: set[api.Kind] = set()  # kinds of destination whose connection tables were seen full
         self.calls_out, self.held, self.count, self.token, self.wake_at, self.calm_at = 0, 0, 0, 0, 1e18, 0.0
-        self.renew_ms, self.renew_at = RENEW_MS, 0.0 if settings.must_subscribe else 1e18
+        self.renew_at = 0.0 if settings.must_subscribe else 1e18
         self.spent, self.closing_at = [(0.0, 0.0)] * len(settings.tenants), 1e18
         self._count_forwarders(settings.forwarders)
         self.limits: api.CallLimits = api.Unlimited()  # an operator's
@@ -156,12 +143,10 @@
             self.actions.append(api.Wake(max(due - now, 1.0), self.token))
 
     def _listed(self, event: api.ListKnown, now: float) -> None:
-        """Follow the list; renew a failed subscription after a jittered, doubling pause."""
+        """Follow the list; renew a failed subscription after a jittered pause."""
         if event.how is api.ListKind.FAILED:
-            self.renew_at = now + self.renew_ms * self.random.uniform(0.5, 1.5)
-            self.renew_ms = min(self.renew_ms * 2, 16 * RENEW_MS)
+            self.renew_at = now + RENEW_MS * self.random.uniform(0.5, 3.0)
             return
-        self.renew_ms = RENEW_MS
         for endpoint in self.endpoints.values():
             endpoint.ready = endpoint.ready and event.how is api.ListKind.DELTA
         for line in (x for x in event.lines if x.target in self.endpoints or x.readiness is Readiness.READY):
@@ -213,7 +198,7 @@
         m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)
         self._later(self._repeat_by(m), m.dest, m.id)
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
-        self._expire(m, now, self._line(m, now))
+        self._expire(m, now, self.limits.line(m.id, now))
         self._thin(m.dest, now)
         self._shed(now)
 
@@ -233,9 +218,9 @@
 
     def _give_up(self, m: Message, now: float) -> None:
         """Answer at once: refused with advice where that is allowed, failed otherwise."""
-        back = max(ADVICE_MS, self._blocked(m.dest) - now)
-        advice = min(back, self.s.max_backoff_ms) if self.s.may_advise else 0.0
-        self.actions.append(api.Refuse(m.id, advice) if self._may_refuse(m) else api.Fail(m.id))
+        back = min(max(ADVICE_MS, self.dests[m.dest].shut_until() - now), self.s.max_backoff_ms)
+        refusal = api.Refuse(m.id, back * self.s.may_advise)
+        self.actions.append(refusal if self._may_refuse(m) else api.Fail(m.id))
         self._finish(m, now)
 
     def _finish(self, m: Message, now: float) -> None:
@@ -254,7 +239,7 @@
         """Make room for the next message by giving up the one that earns least when its queue has drained."""
         full = self.messages.values() if self.held >= self.s.max_open else ()
         if waiting := [m for m in full if not (m.out or m.done or m.kept) and self._may_refuse(m)]:
-            self._give_up(min(waiting, key=lambda m: worth_at(m, now + self._drain(m.dest, now))), now)
+            self._give_up(min(waiting, key=lambda m: m.worth_at(now + self._drain(m.dest, now))), now)
 
     def _thin(self, dest: int, now: float) -> None:
         """Guards clients against a queue that its limit cannot drain: give up at once what earns least."""
@@ -262,27 +247,21 @@
         if not (queue and lanes) or (n := lanes[0].n) is None:
             return
         n = max(n, self.many * self._part(lanes[0]))  # what a passing refusal took comes back
-        left = max(m.deadline for m in queue) - max(now, self._blocked(dest))
+        left = max(m.deadline for m in queue) - max(now, self.dests[dest].shut_until())
         room = max(1.0, n * left / WINDOW_MS) * self.dests[dest].endpoints[0].kind.per_call
         if over := [m for m in queue if len(queue) > room and not (m.out or m.kept) and self._may_refuse(m)]:
-            self._give_up(min(over, key=lambda m: worth_at(m, now + self._drain(dest, now))), now)
+            self._give_up(min(over, key=lambda m: m.worth_at(now + self._drain(dest, now))), now)
 
     def _drain(self, dest: int, now: float) -> float:
         """Return about how long this destination's queue takes; at least a second."""
         queue, unknown = self.dests[dest].queue, 1e9 if self.limits.binding else 1.0
         size = next((e.lane.n for e in self.dests[dest].endpoints if e.lane.n), unknown)
-        return max(1000.0, len(queue) * WINDOW_MS / size, self._line(queue[-1], now) if queue else 0.0)
-
-    def _blocked(self, dest: int) -> float:
-        """Return until when nothing goes to this destination, whatever happens; past times mean now."""
-        return min((e.lane.blocked_until for e in self.dests[dest].endpoints if e.ready), default=0.0)
-
-    def _line(self, m: Message, now: float) -> float:
-        return self.limits.line(m.id, now)
+        line = self.limits.line(queue[-1].id, now) if queue else 0.0
+        return max(1000.0, len(queue) * WINDOW_MS / size, line)
 
     def _expire(self, m: Message, now: float, line: float = 0.0) -> None:
         """Guards clients against silence: what cannot go in time any more, or at all, is answered now."""
-        start = max(now + line, m.not_before, self._blocked(m.dest))
+        start = max(now + line, m.not_before, self.dests[m.dest].shut_until())
         late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts
         if not (m.out or m.done) and (late or start >= self._repeat_by(m)):
             self._give_up(m, now)
@@ -318,21 +297,23 @@
             self._later(now + wait, m.dest)
         return False
 
-    def _seen(self, e: Endpoint, now: float) -> int:
-        return max(1, sum(at > now - RATE_MS for at in self.dests[e.dest].arrivals))
-
     def _pace(self, e: Endpoint, grown: float, now: float) -> float:
         """Return the pause between calls to a cold endpoint: by the own part of a limit, or of traffic."""
-        own = SPARE * (1.0 + 3.0 / self.s.forwarders) * self._seen(e, now) / RATE_MS
+        seen = max(1, self.dests[e.dest].arrived_since(now - RATE_MS)) / RATE_MS
+        own = SPARE * (1.0 + 3.0 / self.s.forwarders) * seen
         rate = e.lane.total / 1000.0 / self.s.forwarders or own  # calls a millisecond
+        # Many leave more unused, as chance adds to what all send; and few of them hold a message for it.
+        used = RAMP_SHARE[0] - RAMP_SHARE[1] * self.many
+        longest = max((c.deadline_ms for c in self.s.classes), default=0.0)
+        held: float = 1.0 - self.many * 4.0 ** (-rate * longest)
         share = self.s.cold_share + (1 - self.s.cold_share) * grown
-        return len(e.lane.endpoints) / (RAMP_SHARE * self.s.overload_factor * rate * share)
+        return len(e.lane.endpoints) * held / (used * self.s.overload_factor * rate * share)
 
     def _opens(self, e: Endpoint, now: float) -> float:
         """Return when health lets the next call go to this endpoint; past times mean now."""
         late = overdue(e, now)
         if e.out_since is None and late >= 2:
-            self._went_out(e, now, e.calls[0].sent)
+            self._went_out(e, now, e.calls[0].sent, self.many)
         if e.out_since is not None or e.rests_until > now:
             return max(e.rests_until, e.trial_at if e.out_since is not None else 0.0)
         if len(e.calls) > late > 0:  # wait for what is out, until all of it is overdue
@@ -381,21 +362,21 @@
         room = sum(len(x.calls) for x in e.lane.endpoints) < most
         return room and max(gate(e.lane), self._opens(e, now)) <= now
 
+    def _rank(self, e: Endpoint, now: float) -> tuple[bool, bool, float, int, float]:  # the least goes first
+        return not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok
+
     def _pick(self, dest: Destination, now: float) -> tuple[float, Message, Endpoint] | None:
         """Choose the message that loses most by waiting for the queue to drain, and its best endpoint."""
         known = [e for e in dest.endpoints if e.ready and (self._joins(e, now) or self._free(e, now))]
-        endpoints = sorted(
-            known,
-            key=lambda e: (not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok),
-        )
+        endpoints = sorted(known, key=lambda e: self._rank(e, now))
         best: tuple[float, Message, Endpoint] | None = None
         if not (endpoints and dest.queue):
             return None
         arrive = now + endpoints[0].lane.usual
         drained = arrive + self._drain(dest.queue[0].dest, now)
         for m in dest.queue:
-            soon = worth_at(m, arrive)
-            index = soon - worth_at(m, drained) + 1e-3 * soon
+            soon = m.worth_at(arrive)
+            index = soon - m.worth_at(drained) + 1e-3 * soon
             if best is None or index > best[0]:
                 e = next((e for e in endpoints if self._may_send(m, e, now)), None)
                 best = (index, m, e) if e else best
@@ -431,7 +412,8 @@
             self.dirty, self.starved = self.dirty | dict.fromkeys(reversed(self.starved)), {}
         self._learn(e, call, event, now)
         # Guards connection tables against idle connections of many, but where traffic reuses them.
-        if (e.kind in self.crowded or self._seen(e, now) <= 1) and not (e.calls or self.dests[e.dest].queue):
+        rare = self.dests[e.dest].arrived_since(now - RATE_MS) <= 1
+        if (e.kind in self.crowded or rare) and not (e.calls or self.dests[e.dest].queue):
             self.actions.append(api.CloseIdle(e.target))
         if m.key and event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             self.rests = {key: until for key, until in self.rests.items() if until > now}
@@ -447,7 +429,7 @@
             self._later(m.not_before, m.dest)
         self.dests[m.dest].queue.append(m)
         for waiting in list(self.dests[m.dest].queue) if event.outcome is Outcome.FULL else (m,):
-            self._expire(waiting, now, self._line(m, now) if waiting is m else 0.0)
+            self._expire(waiting, now, self.limits.line(m.id, now) if waiting is m else 0.0)
 
     def _learn(self, e: Endpoint, call: Call, event: api.Settled, now: float) -> None:
         lane, outcome = e.lane, event.outcome
@@ -477,7 +459,7 @@
             self.crowded |= {e.kind} if e.unconnected else set()  # until it proves to be an outage
             # Guards against calls lost at random, or very long: one that a later call overtook is no sign.
             if call.sent > e.ok_sent and not lossy or failing(e):
-                self._went_out(e, now, call.sent)
+                self._went_out(e, now, call.sent, 0.0 if call.lost else self.many)
 
     def _told(self, lane: Lane, total: float) -> None:
         """A told limit is the total of all forwarders: N starts at a part, and looser where many share it."""
@@ -496,7 +478,7 @@
         elif lane.n is not None and now - lane.grown_at >= WINDOW_MS:
             # Guards against a collapse that outlasts its cause: far under its listed part N doubles.
             step = lane.n if lane.n < LOW * self._part(lane) else 1.0
-            full = sends_since(lane, now - WINDOW_MS - lane.margin) >= int(lane.n)  # the ring's own period
+            full = lane.sends_since(now - WINDOW_MS - lane.margin) >= int(lane.n)  # the ring's own period
             waits = any(self.dests[e.dest].queue for e in lane.endpoints)
             lane.n, lane.grown_at = lane.n + step * (full and waits), now
             if lane.total > 0:
@@ -508,7 +490,7 @@
         """Refused as full: lower N, keep a told wait; a long wait means shut."""
         # Guards a limit of many, which refused calls may use up: vast fleets halve N, and its floor in a row.
         lane, part = e.lane, self._part(e.lane)
-        size = min(lane.n or 1e9, max(1.0, sends_since(lane, now - WINDOW_MS), self.many * part))
+        size = min(lane.n or 1e9, max(1.0, lane.sends_since(now - WINDOW_MS), self.many * part))
         if lane.n is None or lane.n >= max(2.0, 4.0 * self.many):
             lane.n = max(1.0, size - 1.0)
         elif sent > lane.refused_at:  # calls that were out together count once
@@ -519,7 +501,7 @@
         at = now + (wait + 1.0 if wait > 0 else WINDOW_MS / 5) + spread * self.random.random()
         lane.blocked_until = max(lane.blocked_until, at)
         for other in lane.endpoints if wait > 2 * WINDOW_MS else ():
-            self._went_out(other, now, sent)
+            self._went_out(other, now, sent, self.many)
             self._next_trial(other, now + wait)
 
     def _no_table(self, e: Endpoint, call: Call, now: float) -> None:
@@ -533,19 +515,28 @@
         pause = min(SPREAD_MS[1], e.lane.usual * 2.0 ** min(e.crowds - 1, 3))
         e.rests_until = now + pause * self.random.uniform(0.5, 1.5)
 
-    def _went_out(self, e: Endpoint, now: float, since: float) -> None:
+    def _went_out(self, e: Endpoint, now: float, since: float, many: float) -> None:
         """Hold the endpoint to fail, from when the failed call was sent: only trials until one succeeds."""
         if e.out_since is None:
+            # Guards fail-back: who calls rarely cannot know how long it had failed before the call at hand.
+            since = min(since, max(e.ok_sent, now - many * self.s.warm_up_ms))
             e.out_since = since if now - e.ramp_from > self.s.warm_up_ms else now - MISHAP_MS
             e.trial_at, e.ramp_from = now + self.first_ms, -1e12
+            if many:
+                self._next_trial(e, now)
+            kin = [x for x in e.lane.endpoints if many and x.ok_sent <= since]
+            partner_out = sum(x.out_since is not None for x in kin) > 1
+            for x in kin if partner_out else ():
+                x.out_since = e.out_since
 
     def _next_trial(self, e: Endpoint, now: float) -> None:
         """Set when the next trial or probe may go, of all endpoints that share the limit."""
         # Guards what returns against trials of many: their pauses grow with the outage, and add up to a part.
-        bears = RAMP_SHARE * self.s.overload_factor * self.s.cold_share * SPARE
-        pause = 0.0 if e.out_since is None else (now - e.out_since) / bears
+        bears = RAMP_SHARE[0] * self.s.overload_factor * self.s.cold_share * SPARE
+        pause = 1e18 if self.many else (now - (e.out_since or now)) / bears
         pause = max(self.first_ms, min(pause, self._pace(e, 0.0, now) / len(e.lane.endpoints)))
-        at = now + pause * self.random.uniform(0.5, 1.5)
+        spread = 1.0 if self.many else 0.5  # under one call each any moment has to be as likely
+        at = now + pause * self.random.uniform(1.0 - spread, 1.0 + spread)
         for kin in e.lane.endpoints:
             kin.trial_at = max(kin.trial_at, at)
 
@@ -556,4 +547,7 @@
             e.lossy_until = now + LOSSY_MS if now - e.out_since < MISHAP_MS else e.lossy_until
             e.ramp_from = now if now - e.out_since >= MISHAP_MS or failing(e) else e.ramp_from
             self.crowded -= {e.kind} if e.unconnected and now - e.out_since >= 2 * MISHAP_MS else set()
+            for kin in [x for x in e.lane.endpoints if self.many and x.ok_sent < e.out_since and x is not e]:
+                kin.out_since, kin.ramp_from = None, e.ramp_from
+                kin.last_sent = now - self.random.random() * self._pace(kin, 0.0, now)
         e.out_since, e.unconnected = None, False
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -1,4 +1,4 @@
-"""The state that decisions rest on: records only. Every decision is in ashvale/control.py."""
+"""The state that decisions rest on: records, and what they hold. Every decision is in ashvale/control.py."""
 
 from __future__ import annotations
 
@@ -31,6 +31,13 @@
     kept: bool = False  # a restart found it untried: it is tried before it is given up
     maybe_ran: Optional[tuple[float, int]] = None  # send time and zone of the first such attempt
 
+    def worth_at(self, at: float) -> float:
+        """Return what a delivery at this time still earns."""
+        late, least = max(0.0, at - self.aim), self.cls.late_worth
+        even = 1.0 - (1.0 - least) * late / max(1.0, self.deadline - self.aim)
+        left = max(least, 0.5 ** (late / max(1.0, self.cls.aim_ms))) if self.halves else even
+        return self.worth * left if at < self.deadline else 0.0
+
 
 @dataclass(eq=False)
 class Call:
@@ -85,6 +92,10 @@
     grown_at: float = 0.0
     refused_at: float = NEVER
 
+    def sends_since(self, at: float) -> int:
+        """Count the recent calls sent after `at`."""
+        return next((i for i, sent in enumerate(reversed(self.ring)) if sent <= at), len(self.ring))
+
 
 @dataclass(eq=False)
 class Destination:
@@ -95,3 +106,11 @@
     arrivals: deque[float] = field(default_factory=lambda: deque(maxlen=64))
     look_at: float = 1e18  # when it is to be looked at again
     blocked_until: float = 0.0  # told by endpoints that are gone
+
+    def shut_until(self) -> float:
+        """Until when no endpoint lets anything go, whatever happens; past times mean now."""
+        return min((e.lane.blocked_until for e in self.endpoints if e.ready), default=0.0)
+
+    def arrived_since(self, at: float) -> int:
+        """Count the recent messages that came after `at`."""
+        return sum(arrived > at for arrived in self.arrivals)
