--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -18,8 +18,10 @@
 from ashvale.exchange import Exchange
 from ashvale.journal import Disk, Journal
 from ashvale.loop import Coroutine, Loop, Task, lasting
+from ashvale.net.discovery import Discovery
 from ashvale.net.mail import MailCarrier, MailFront
-from ashvale.net.platform import Discovery, Notices, Pool, Server
+from ashvale.net.notices import Notices
+from ashvale.net.platform import Pool, Server
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -47,7 +47,7 @@
 from ashvale.fleet.store import Spoilt, Store
 from ashvale.loop import Broken, Connection, Coroutine, Expired, Listener, Loop, Signal, Task, Timer, lasting
 from ashvale.net.aside import aside
-from ashvale.net.platform import Channel
+from ashvale.net.http_client import Channel
 
 if TYPE_CHECKING:
     from ashvale.config import Fleet
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -1,27 +1,21 @@
 """The platform's protocol: HTTP/1.1 on both sides, parsed by h11.
 
-It owns the server for service clients, the pool of connections to instances, the watch on discovery and the
-notices. It translates: commands and executions to and from HTTP. It must never decide where or when a message
-goes, never answer 202 before the exchange has taken a command, and never send a request a second time on its
-own.
+It owns the server for service clients and the pool of connections to instances. It translates: commands and
+executions to and from HTTP. It must never decide where or when a message goes, never answer 202 before the
+exchange has taken a command, and never send a request a second time on its own.
 """
 
 from __future__ import annotations
 
-import json
 import logging
 import re
-from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import lru_cache
-from random import Random
-from typing import Any, Optional
+from typing import Optional
 
 import h11
 
 from ashvale import interface as api
-from ashvale.config import ConfigError, address, get
 from ashvale.exchange import DELIVERED, NACK_MS, RETURNED, Command, Exchange, Execution, Instance, Nack
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
@@ -34,13 +28,12 @@
     Expired,
     Listener,
     Loop,
-    Signal,
     connect,
-    sleep,
 )
+from ashvale.net.http_client import BODY_MOST, HEAD_MOST, HttpClient, Reply, wait_ms
+from ashvale.net.notices import Notices
 from ashvale.net.pool import Carrier, Stopped
 
-BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
 REQUEST_MS = 2000.0  # a service client has this long for one request, and to begin with its first
 IDLE_MS = 75000.0  # and may leave its connection idle for this long
 PAST_MOST = 2048  # ids of messages that are over, kept to know them again
@@ -48,16 +41,9 @@
 REST_MS = 80.0  # the rest of a refusal has this long to come, or the answer is spoilt
 LAST_REQUEST_MS = 3100.0  # after SIGTERM a request that is not whole by then is answered as it is
 SETTLE_MS = 400.0  # and a new connection that says nothing for so long is ended
-# How long a watch may wait, and discovery's agent to answer. Together less than the 6 s after which what a
-# watch that fell silent has missed counts as told.
-WATCH_MS, AGENT_MS = 4000.0, 1000.0
-NOTICE_MS = 200.0  # the agent answers notices at once; what is late to be told counts as lost
-RETRY_MS = (50.0, 1000.0)  # pauses between tries at discovery's agent: first and longest
-BUSY_MS = (20.0, 16000.0)  # where it turns lists away: first, for each courier of the fleet, and longest
-NOTICES_MOST = 400  # lines in one notice
 LOAD_MOST = 1024  # characters of a load report that are looked at
 PROBE_MS = 1500.0  # a probe is answered within this, or it has failed
-RATE_MOST = 1e6  # calls a second that a list may say a partner takes
+RATE_MOST = 1e6  # calls a second that a load report may tell
 _ID = re.compile(rb"[!-~]{1,200}\Z")
 _DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
 _LOAD = re.compile(r"(?<![^\s,])(\w{1,40})=(\d{1,12}(?:\.\d{1,12})?)(?![^\s,])")
@@ -87,18 +73,6 @@
     return None if found is None else str(int(found[1]))
 
 
-def wait_ms(headers: dict[bytes, bytes]) -> float:
-    """The wait that an answer tells, in milliseconds; 0 if it tells none."""
-    for name, unit in ((b"x-come-back-ms", 1.0), (b"retry-after", 1000.0)):
-        try:
-            value = float(headers[name]) * unit
-        except (KeyError, ValueError):
-            continue
-        if 0.0 < value < 1e9:
-            return value
-    return 0.0
-
-
 def load_report(text: str, fields: tuple[str, ...]) -> dict[str, float]:
     """What an endpoint tells of its load, as far as the settings name it: `TEXT x0=0.4, x1=25`.
 
@@ -126,37 +100,6 @@
     return {id: end for id, end in ends.items() if end}
 
 
-def decode_host(data: Any) -> Instance:
-    """One line of discovery's list."""
-    try:
-        where = address(get(data, "dial", str, "", "host"), "dial", "host")
-    except ConfigError:  # one line that cannot be used must not cost the others
-        where = "0.0.0.0", 0
-    state = get(data, "health", str, what="host")
-    return Instance(
-        name=get(data, "host", str, what="host"),
-        dest=str(get(data, "block", int, 0, "host")),
-        address=where,
-        kind=get(data, "class", str, "", "host"),
-        zone=get(data, "site", str, "", "host"),
-        ready=state == "SERVING",
-        gone=state == "DELETED",
-        # Guards pacing against a rate that is none: a negative one, no number, or an endless one.
-        rate=share if 0.0 < (share := get(data, "share", float, 0.0, "host")) <= RATE_MOST else 0.0,
-        born_ms=get(data, "born_ms", float, 0.0, "host"),
-    )
-
-
-def decode_hosts(data: Any) -> tuple[int, bool, list[Instance]]:
-    """Discovery's answer: version, whether the list is whole, and its lines."""
-    hosts = get(data, "hosts", list, what="list")
-    return (
-        get(data, "seq", int, what="list"),
-        get(data, "whole", bool, what="list"),
-        [decode_host(host) for host in hosts],
-    )
-
-
 # The service clients' side
 
 
@@ -391,192 +334,9 @@
     return h11.Response(status_code=status, headers=[*headers, *more])
 
 
-class Channel:
-    """Requests to discovery's agent, one at a time, on a connection that is kept."""
-
-    def __init__(self, loop: Loop, address: Address) -> None:
-        self.loop, self.address = loop, address
-        self._open: Optional[HttpClient] = None
-        self._busy: Optional[HttpClient] = None
-
-    def move(self, address: Address) -> None:
-        """The agent is elsewhere from now on; a request under way ends as `Broken`."""
-        if address != self.address:
-            self.address = address
-            for client in (self._open, self._busy):
-                if client is not None:
-                    client.connection.close()
-
-    def ask(self, method: str, target: str, body: bytes, until: float) -> Coroutine[tuple[int, bytes]]:
-        client, self._open = self._open, None
-        if client is None or not client.connection.quiet() or client.connection.stale:
-            if client is not None:
-                client.connection.close()
-            where = self.address
-            client = HttpClient((yield from connect(self.loop, where, until)), where)
-            if where != self.address:  # moved on meanwhile
-                client.connection.close()
-        self._busy = client
-        try:
-            reply = Reply(most=64 * BODY_MOST)
-            yield from client.ask(method, target, [], body, until, reply)
-            if client.reusable:
-                self._open = client
-            return reply.status, bytes(reply.body)
-        finally:
-            self._busy = None
-            if self._open is not client:
-                client.connection.close()
-
-
-class Notices:
-    """Tells the platform the ends of messages that were not delivered, again until it has heard."""
-
-    def __init__(self, loop: Loop, address: Address) -> None:
-        self.loop, self.channel = loop, Channel(loop, address)
-        self._waiting: deque[Entry] = deque()
-        self._more = Signal()
-        self.told: Callable[[Entry], None] = lambda entry: None
-        self.untold: Callable[[Entry], None] = lambda entry: None
-
-    def add(self, entry: Entry) -> None:
-        self._waiting.append(entry)
-        self._more.fire()
-
-    def run(self) -> Coroutine[None]:
-        pause, most = RETRY_MS[0], NOTICES_MOST
-        while True:
-            while not self._waiting:
-                yield self._more, FOREVER
-            lines = [self._waiting[i] for i in range(min(most, len(self._waiting)))]
-            body = b"".join(map(notice, lines))
-            until = self.loop.now() + NOTICE_MS
-            try:
-                status, _ = yield from self.channel.ask("POST", "/v1/notices", body, until)
-            except (Broken, Expired) as error:
-                log.warning("notice not told", extra={"why": str(error)})
-                status = 0
-            if status == 204:
-                pause, most = RETRY_MS[0], NOTICES_MOST
-                for entry in lines:
-                    self._waiting.popleft()
-                    self.told(entry)
-                continue
-            for entry in lines:
-                self.untold(entry)
-            if status:
-                log.error("notice refused", extra={"status": status, "lines": len(lines)})
-                most = 1  # guards the others against one that is not understood
-                self._waiting.rotate(-1)
-            yield from sleep(self.loop, pause)
-            pause = min(2 * pause, NOTICE_MS)
-
-
-def notice(entry: Entry) -> bytes:
-    """One line for the platform."""
-    data: dict[str, Any] = {"id": entry.id, "state": entry.state}
-    if entry.state == RETURNED and entry.after_ms > 0:
-        data["after_ms"] = round(entry.after_ms)
-    return json.dumps(data, separators=(",", ":")).encode() + b"\n"
-
-
 # The instances' side
 
 
-@dataclass
-class Reply:
-    """What has come back so far of one request."""
-
-    written: bool = False
-    whole: bool = False
-    status: int = 0
-    headers: dict[bytes, bytes] = field(default_factory=dict)
-    body: bytearray = field(default_factory=bytearray)
-    most: int = BODY_MOST
-    # Where the rest is still to come: how long it may take. It is given the reply, as one that held it would
-    # make a ring of references, and calls with their messages would wait for the collector.
-    on_head: Callable[[Reply], float] = lambda _reply: FOREVER
-    partial: bool = False  # that was asked
-    execution: Optional[Execution] = None  # is told when things happened
-
-
-class HttpClient:
-    """The requesting side of one connection."""
-
-    def __init__(self, connection: Connection, address: Address) -> None:
-        self.connection, self.host = connection, f"{address[0]}:{address[1]}"
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
-
-    def ask(
-        self,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
-        until: float,
-        reply: Reply,
-    ) -> Coroutine[None]:
-        """One request and its answer; `reply` tells how far it came, whatever happens."""
-        if self.http.our_state is h11.DONE:
-            self.http.start_next_cycle()
-        headers = [("Host", self.host), *headers]
-        if method != "GET":
-            headers.append(("Content-Length", str(len(body))))
-        data = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
-        data.append(self.http.send(h11.Data(data=body)) if body else b"")
-        data.append(self.http.send(h11.EndOfMessage()))
-        by = reply.execution.by if reply.execution is not None else []
-        yield from self.connection.send(b"".join(part or b"" for part in data), min([until, *by]))
-        reply.written = True
-        if reply.execution is not None:
-            reply.execution.written = self.connection.loop.now()
-        start = b""
-        while True:
-            try:
-                event = self.http.next_event()
-                if event is h11.NEED_DATA:
-                    if reply.status and not reply.partial:
-                        reply.partial = True
-                        until = min(until, self.connection.loop.now() + reply.on_head(reply))
-                    received = yield from self.connection.receive(until)
-                    if reply.execution is not None and not reply.execution.first and received:
-                        reply.execution.first = self.connection.loop.now()
-                    start = start if reply.status else (start + received)[:64]
-                    self.http.receive_data(received)
-            except h11.RemoteProtocolError as error:
-                self._first_line(start, reply)
-                raise Broken(f"no HTTP answer: {error}") from None
-            except (Broken, Expired):
-                self._first_line(start, reply)
-                raise
-            if isinstance(event, h11.Response):
-                reply.status, reply.headers = event.status_code, dict(event.headers)
-            elif isinstance(event, h11.InformationalResponse):
-                if self.connection.loop.now() >= until:  # guards against announcements that never end
-                    raise Expired("no answer but announcements")
-            elif isinstance(event, h11.Data):
-                reply.body += event.data
-                if len(reply.body) > reply.most:
-                    raise Broken("the answer is too large")
-            elif isinstance(event, h11.EndOfMessage):
-                reply.whole = True
-                return
-            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                raise Broken("no answer")
-
-    @staticmethod
-    def _first_line(start: bytes, reply: Reply) -> None:
-        """Guards a delivery whose answer broke off after its first line: that line already says it."""
-        if not reply.status and re.match(rb"HTTP/1\.[01] 200[ \r][^\n]*\n|HTTP/1\.[01] 200\r?\n", start):
-            reply.status = 200
-
-    @property
-    def reusable(self) -> bool:
-        # Guards the next request against what came behind an answer: it would be read as its own answer.
-        done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        return done and not self.http.trailing_data[0] and not self.connection.stale
-
-
 class Pool(Carrier[HttpClient]):
     """Carries executions to instances as calls."""
 
@@ -703,75 +463,3 @@
     if end in (429, 503, "refused"):
         return Outcome.FULL, ""
     return Outcome.ERROR, ""  # an answer that is not understood proves nothing
-
-
-# Discovery
-
-
-def list_pause(tries: int, busy: bool, couriers: int, random: Random) -> float:
-    """How long to leave discovery alone after so many failed tries in a row.
-
-    Guards a list service that turns requests away against a fleet that asks again in lockstep: the pause is
-    spread, doubles, and begins as long as the fleet is large. Silence costs nobody: its pauses stay short.
-    """
-    first, most = (BUSY_MS[0] * max(1, couriers), BUSY_MS[1]) if busy else RETRY_MS
-    return min(most, first * 2.0 ** min(tries, 16)) * random.uniform(0.5, 1.5)
-
-
-class Discovery:
-    """Follows discovery's list for as long as the courier runs."""
-
-    def __init__(self, loop: Loop, exchange: Exchange, address: Address, random: Random) -> None:
-        self.loop, self.exchange, self.random = loop, exchange, random
-        self.channel = Channel(loop, address)
-        self._afresh = False
-        self._known: Optional[int] = None  # the version that changes are asked for
-
-    def move(self, address: Address) -> None:
-        """Follow another agent; what the old one has told stays until the new one has told its whole list."""
-        self.channel.move(address)
-        self._afresh = True
-
-    def known(self, data: Any) -> None:
-        """Start with the list as the courier last had it."""
-        if data:
-            seq, _, hosts = decode_hosts(data)
-            self.exchange.instances_known(api.ListKind.CACHED, hosts, seq)
-            self._known = seq
-
-    def run(self) -> Coroutine[None]:
-        tries = 0
-        while True:
-            if self._afresh:
-                self._known, tries, self._afresh = None, 0, False
-            seq, wait, target = self._known, 0.0, "/discovery/hosts"
-            if seq is not None:
-                wait = WATCH_MS
-                target += f"?since={seq}&timeout_ms={WATCH_MS:.0f}"
-            until = self.loop.now() + wait + AGENT_MS
-            status = 0
-            try:
-                status, body = yield from self.channel.ask("GET", target, b"", until)
-                if self._afresh:
-                    raise Broken("the agent is elsewhere")
-                if status != 200:
-                    raise Broken(f"status {status}")
-                version, whole, hosts = decode_hosts(json.loads(body))
-                if seq is not None and version < seq:
-                    raise ConfigError(f"list: version {version} came after {seq}")
-                self._known = version
-            except (Broken, Expired, ConfigError, ValueError) as error:
-                log.warning("discovery silent", extra={"why": str(error), "since": seq})
-                if not isinstance(error, (Broken, Expired)) or status in (400, 404, 410):
-                    self._known = None  # guards against a change that was not understood: ask for all of it
-                tries = 0 if isinstance(error, Expired) else tries  # silence has been waited for already
-                if not self._afresh:
-                    busy = status in (429, 503)
-                    couriers = self.exchange.settings.forwarders
-                    yield from sleep(self.loop, list_pause(tries, busy, couriers, self.random))
-                tries += 1
-                continue
-            tries = 0
-            if whole or hosts:
-                kind = api.ListKind.FULL if whole else api.ListKind.DELTA
-                self.exchange.instances_known(kind, hosts, self._known)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 from ashvale import config
 from ashvale.interface import Effect
 from ashvale.lab.stands import SETTINGS
-from ashvale.net.platform import decode_host
+from ashvale.net.discovery import decode_host
 from ashvale.rehearsal import set_up
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -20,7 +20,8 @@
 from ashvale.lab.stands import DROP, STALL, answer
 from ashvale.lab.virtual import WINDOW, Process, Stalled, VirtualLoop
 from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, connect, sleep
-from ashvale.net.platform import HttpClient, Reply, Server
+from ashvale.net.http_client import HttpClient, Reply
+from ashvale.net.platform import Server
 from tests.test_config_language import ashvale
 
 HERE = ("127.0.0.1", 80)
