Let idle clients go the sooner the fewer descriptors are left, and cap calls by them

Seen, with 64 descriptors by the settings and by the system, discovery down, and 700 idle connections a second that stay: GET /up was answered after 2.8 to 4.8 s. Cause: Listener._make_room let one go only after 200 ms of rest, and Connection.finish kept its descriptor for up to 300 ms more; a full listener looked again every 25 ms and found room for one. Ruled out: discovery, endpoints and notices, which have descriptors of their own.

Change: the patience with a connection that was never used falls from 200 ms, where it begins to be crowded, to 20 ms, where no room is left, and it is closed at once. Calls at once are capped at a quarter of the descriptors less eight, as one that finds none would be taken for an endpoint that is out.

--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -39,6 +39,7 @@
 OWN_FILE = Path(__file__).parent.parent.parent / "deploy" / "ashvale.toml"
 log = logging.getLogger(__name__)
 DISK_MB, SOCKETS = 3, 1024  # taken where the deployment states no limit
+OWN_DESCRIPTORS = 8  # files, the loop, discovery and notices, beyond the eighth that is left for them
 
 
 @dataclass(frozen=True)
@@ -48,6 +49,11 @@
     sockets: int = SOCKETS
     disk_bytes: int = DISK_MB * 1_000_000
 
+    @property
+    def calls(self) -> int:
+        """Calls to endpoints at once: a quarter of the descriptors, less what the process itself needs."""
+        return max(1, self.sockets // 4 - OWN_DESCRIPTORS)
+
 
 @dataclass(frozen=True)
 class Platform:
@@ -483,15 +489,18 @@
         number = int(seed, 16)
     except ValueError:
         raise ConfigError(f"config: key 'seed' is no hexadecimal number: '{seed}'") from None
+    allowed = Limits(
+        least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
+        int(least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6),
+    )
+    told = settings(get(root, "settings", dict, what="config"))
     return Config(
         name=environ.get("LB_NAME") or get(root, "name", str, "courier", "config"),
         state=_state(environ.get("LB_STATE", "")),
         seed=number,
-        limits=Limits(
-            least(limits, "sockets", int, SOCKETS, 16, "config: limits"),
-            int(least(limits, "disk_mb", float, float(DISK_MB), 0.0, "config: limits") * 1e6),
-        ),
-        settings=settings(get(root, "settings", dict, what="config")),
+        limits=allowed,
+        # Guards endpoints against calls for which no descriptor is left: they would be held to be out.
+        settings=replace(told, slots=min(told.slots, allowed.calls)),
         platform=Platform(
             address(listen, "listen"),
             address(discovery, "discovery"),
--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -30,6 +30,7 @@
 DEAD_MOST = 256  # cancelled timers that are kept at least
 _ACCEPTS = 64  # connections taken in one go, so that a flood of them cannot starve the rest
 FRESH_MS, SPARE_MS = 200.0, 2050.0  # a connection that rests so long, unused and used, may go for another
+LEAST_FRESH_MS = 20.0  # an unused one as soon as this where no room is left
 CROWDED = 0.75  # share of the connections allowed from which resting ones go
 AGAIN_MS = 50.0  # pause before a task that failed begins again
 FULL_MS = 25.0  # pause before another look for room where none rests long enough
@@ -537,6 +538,7 @@
         self.open: dict[Connection, None] = {}
         self.resting: dict[Connection, tuple[float, bool]] = {}  # since when, and whether it was ever used
         self.dismiss: Callable[[Connection], None] = Connection.finish
+        self.dismiss_unused: Callable[[Connection], None] = Connection.close  # to make room for another
         self.spare_ms = FRESH_MS, SPARE_MS
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = loop.socket(family)
@@ -597,10 +599,24 @@
         self.resting.pop(connection, None)
 
     def _make_room(self) -> None:
-        """Dismiss the connection that has rested longest, if one has rested long enough."""
-        self.dismiss_resting(*self.spare_ms, most=1)
+        """Dismiss the connection that has rested longest, if one has rested long enough.
 
-    def dismiss_resting(self, fresh_ms: float, used_ms: float, most: float = FOREVER) -> None:
+        Guards whoever has something to say against idle clients that come faster than they are let go: the
+        less room is left, the sooner one that was never used goes, and at once, without a descriptor that
+        lingers.
+        """
+        fresh_ms, used_ms = self.spare_ms
+        room = (self.most - len(self.open)) / max(1.0, (1.0 - CROWDED) * self.most)
+        fresh_ms = max(min(fresh_ms, LEAST_FRESH_MS), fresh_ms * room)
+        self.dismiss_resting(fresh_ms, used_ms, 1, self.dismiss_unused)
+
+    def dismiss_resting(
+        self,
+        fresh_ms: float,
+        used_ms: float,
+        most: float = FOREVER,
+        dismiss_unused: Optional[Callable[[Connection], None]] = None,
+    ) -> None:
         """Dismiss connections that have rested so long, those never used and those used, the oldest first.
 
         Guards a request that has come and is not told yet against the end of its connection: it is served.
@@ -609,7 +625,8 @@
         for connection, (since, used) in list(self.resting.items()):
             if now - since >= (used_ms if used else fresh_ms) and connection.quiet():
                 self.wake(connection)
-                self.dismiss(connection)
+                dismiss = self.dismiss if used else dismiss_unused or self.dismiss
+                dismiss(connection)
                 if (most := most - 1) <= 0:
                     return
 
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -181,7 +181,8 @@
         listener = Listener(
             self.loop, where.address, lambda c: Session(self, c, listener).run(), where.most, where.protocol
         )
-        listener.dismiss, listener.spare_ms = self._dismiss, REST_MS
+        listener.dismiss = listener.dismiss_unused = self._dismiss
+        listener.spare_ms = REST_MS
         return listener
 
     # What the exchange calls
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 
 import json
 import tomllib
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -107,3 +108,19 @@
     """Guards pacing: the ring's size is a whole number, and there is none for an endless rate."""
     line = {"host": "s", "health": "SERVING", "dial": "127.0.0.1:1", "share": json.loads(share)}
     assert decode_host(line).rate == rate
+
+
+@pytest.mark.parametrize(("sockets", "slots"), [(16, 1), (64, 8), (256, 56), (1024, 100)])
+def test_calls_at_once_leave_descriptors_for_everybody(tmp_path: Path, sockets: int, slots: int) -> None:
+    """Half are for clients, an eighth is for idle connections, and at most a quarter for calls."""
+    file = tmp_path / "config.json"
+    many_calls = {**SETTINGS, "family_info": {**SETTINGS["family_info"], "max_calls": 100}}
+    told = {"settings": many_calls, "limits": {"sockets": sockets}}
+    file.write_text(json.dumps(told))
+    environ = {
+        "LB_CONFIG": str(file),
+        "LB_STATE": str(tmp_path),
+        "LB_LISTEN": "127.0.0.1:0",
+        "LB_DISCOVERY": "127.0.0.1:1",
+    }
+    assert config.load(environ).settings.slots == slots
