--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -602,13 +602,13 @@
         """Dismiss the connection that has rested longest, if one has rested long enough.
 
         Guards whoever has something to say against idle clients that come faster than they are let go: the
-        less room is left, the sooner one that was never used goes, and at once, without a descriptor that
-        lingers.
+        less room is left, the sooner one that was never used goes; where none is left, at once, without a
+        descriptor that lingers.
         """
         fresh_ms, used_ms = self.spare_ms
         room = (self.most - len(self.open)) / max(1.0, (1.0 - CROWDED) * self.most)
         fresh_ms = max(min(fresh_ms, LEAST_FRESH_MS), fresh_ms * room)
-        self.dismiss_resting(fresh_ms, used_ms, 1, self.dismiss_unused)
+        self.dismiss_resting(fresh_ms, used_ms, 1, self.dismiss_unused if room <= 0.0 else self.dismiss)
 
     def dismiss_resting(
         self,
