Wait before a message that could not be journalled as begun goes again

Seen: with a full disk Exchange.begin gave the execution up as never run, the module sent it again in the next turn, and eight attempts were gone within milliseconds: the message was returned while seven tenths of its time were left. Now it is reported as one for which no slot was left (Settled.no_slot), and the module waits as it does after a failed call: 300 ms, doubling. The test fails on the code before: returned at once.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -424,7 +424,7 @@
             self._later(self._repeat_by(m), m.dest, m.id)
         if event.finished or m.done:
             return self._finish(m, now)
-        if event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED):
+        if event.no_slot or event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED):
             m.not_before = now + RENEW_MS * 2.0 ** min(m.attempts - 1, 4) * self.random.uniform(0.75, 1.25)
             self._later(m.not_before, m.dest)
         self.dests[m.dest].queue.append(m)
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -675,6 +675,9 @@
                 )
             except Full as error:  # an execution that the journal does not know must not begin
                 log.error("execution not begun", extra={"why": str(error)})
+                # Guards its attempts against a full disk: it goes again after a pause, not in the next turn.
+                for entry in list(execution.parts):
+                    self.report(execution, entry, Outcome.MOOT, no_slot=True)
                 return False
             execution.begun = True
         return True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -521,3 +521,25 @@
         s.until(lambda: s.courier.exchange.serves("2"))
         s.hand_in()
         s.until(lambda: len(endpoint.calls) == 1)
+
+
+def test_a_full_disk_does_not_use_up_a_messages_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An execution that cannot be journalled as begun is tried again after a pause that doubles."""
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.start()
+        journal, refused = s.courier.exchange.journal, list[float]()
+        started = journal.started
+
+        def full(*_told: object) -> None:
+            refused.append(s.loop.now())
+            raise Full("no room")
+
+        monkeypatch.setattr(journal, "started", full)
+        assert s.hand_in()[1].startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: len(refused) >= 4)
+        assert refused[-1] - refused[0] > 3 * 200.0
+        monkeypatch.setattr(journal, "started", started)
+        s.until(lambda: len(endpoint.calls) == 1)
+        s.until(lambda: s.courier.exchange.idle)
+        assert not s.discovery.notices
