Work out once how long each queue takes when a full house gives a message up

Cause: _shed asked _drain for each message held, though it is the same for a whole destination; _thin likewise. It still looks at all that is held.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -9,6 +9,7 @@
 import heapq
 import random
 from collections import defaultdict, deque
+from collections.abc import Iterable
 
 from ashvale import interface as api
 from ashvale.interface import Effect, Outcome, Readiness
@@ -193,14 +194,14 @@
         self._later(m.deadline - EDGE_MS, m.dest, m.id)
         if m.key:
             self.turns.setdefault(m.key, []).append(m)
-        # Guards rule two across a restart: what an earlier life sent counts for the limit and for the window.
         m.attempts, m.kept, m.halves = event.attempts, event.kept, not self.s.fades_linear
-        m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)
+        m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)  # in an earlier life
         self._later(self._repeat_by(m), m.dest, m.id)
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
         self._expire(m, now, self.limits.line(m.id, now))
         self._thin(m.dest, now)
-        self._shed(now)
+        if self.held >= self.s.max_open:  # make room for the next message
+            self._give_up_least(self.messages.values(), now)
 
     def _weight(self, event: api.NewMessage, now: float) -> float:
         """Weigh what a tenant sends beyond this forwarder's part of its share: a bucket of two seconds."""
@@ -235,11 +236,12 @@
             else:
                 del self.turns[m.key]
 
-    def _shed(self, now: float) -> None:
-        """Make room for the next message by giving up the one that earns least when its queue has drained."""
-        full = self.messages.values() if self.held >= self.s.max_open else ()
-        if waiting := [m for m in full if not (m.out or m.done or m.kept) and self._may_refuse(m)]:
-            self._give_up(min(waiting, key=lambda m: m.worth_at(now + self._drain(m.dest, now))), now)
+    def _give_up_least(self, among: Iterable[Message], now: float) -> None:
+        """Give up at once, of what may be refused, the one that earns least when its queue has drained."""
+        waiting = [m for m in among if not (m.out or m.done or m.kept) and self._may_refuse(m)]
+        drained = {dest: now + self._drain(dest, now) for dest in {m.dest for m in waiting}}
+        if waiting:
+            self._give_up(min(waiting, key=lambda m: m.worth_at(drained[m.dest])), now)
 
     def _thin(self, dest: int, now: float) -> None:
         """Guards clients against a queue that its limit cannot drain: give up at once what earns least."""
@@ -249,8 +251,8 @@
         n = max(n, self.many * self._part(lanes[0]))  # what a passing refusal took comes back
         left = max(m.deadline for m in queue) - max(now, self.dests[dest].shut_until())
         room = max(1.0, n * left / WINDOW_MS) * self.dests[dest].endpoints[0].kind.per_call
-        if over := [m for m in queue if len(queue) > room and not (m.out or m.kept) and self._may_refuse(m)]:
-            self._give_up(min(over, key=lambda m: m.worth_at(now + self._drain(dest, now))), now)
+        if len(queue) > room:
+            self._give_up_least(queue, now)
 
     def _drain(self, dest: int, now: float) -> float:
         """Return about how long this destination's queue takes; at least a second."""
@@ -524,9 +526,8 @@
             e.trial_at, e.ramp_from = now + self.first_ms, -1e12
             if many:
                 self._next_trial(e, now)
-            kin = [x for x in e.lane.endpoints if many and x.ok_sent <= since]
-            partner_out = sum(x.out_since is not None for x in kin) > 1
-            for x in kin if partner_out else ():
+            kin = [x for x in e.lane.endpoints if many and x.ok_sent <= since]  # two out: it is the partner
+            for x in kin if sum(x.out_since is not None for x in kin) > 1 else ():
                 x.out_since = e.out_since
 
     def _next_trial(self, e: Endpoint, now: float) -> None:
@@ -535,8 +536,7 @@
         bears = RAMP_SHARE[0] * self.s.overload_factor * self.s.cold_share * SPARE
         pause = 1e18 if self.many else (now - (e.out_since or now)) / bears
         pause = max(self.first_ms, min(pause, self._pace(e, 0.0, now) / len(e.lane.endpoints)))
-        spread = 1.0 if self.many else 0.5  # under one call each any moment has to be as likely
-        at = now + pause * self.random.uniform(1.0 - spread, 1.0 + spread)
+        at = now + pause * self.random.uniform(*((0.0, 2.0) if self.many else (0.5, 1.5)))
         for kin in e.lane.endpoints:
             kin.trial_at = max(kin.trial_at, at)
 
