--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -31,7 +31,7 @@
     from ashvale.trace.recorder import Recorder
 
 HANDOVER_MS = 600.0  # after SIGTERM new connections still come for so long
-LAST_SEND_MS = 3000.0  # no execution begins later than this after SIGTERM
+LAST_SEND_MS = 3000.0  # no attempt begins later than this after SIGTERM
 END_MS = 3500.0  # and the process ends, whatever is left; the journal keeps it
 ADOPT_MS = 100.0  # how often a new process looks whether the one before it has ended
 log = logging.getLogger("ashvale")
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -1,9 +1,9 @@
 """The exchange: the only place where the service clients' side and the instances' side meet.
 
 It owns the messages held, and drives the Controller, its timers and the journal. It knows no wire: fronts
-hand it commands and are told how these end, carriers are given executions and report how those end. It must
+hand it commands and are told how these end, carriers are given attempts and report how those end. It must
 never decide where or when anything is sent (that is `ashvale/control.py`), never say that a message is taken
-before the journal has it, and never let an execution begin before the journal says so.
+before the journal has it, and never let an attempt begin before the journal says so.
 
 Events are gathered for one tick and handled with one time, so what leaves together can travel in one call.
 """
@@ -27,7 +27,7 @@
     from ashvale.routing.door import Door
     from ashvale.routing.router import Facts
 
-NACK_MS = 500.0  # when to come back after a refusal at the door
+REFUSED_MS = 500.0  # when to come back after a refusal at the door
 UNHEARD = float("inf")  # a wait of which the Controller has yet to hear
 SERVED_MOST = 4096  # destinations kept in mind
 ASIDE_MS = 100.0  # how often to look whether this process is alone again; and left for an end's notice
@@ -90,7 +90,7 @@
 
 
 @dataclass(frozen=True)
-class Nack:
+class Refusal:
     """Not taken: handing the message in again does no harm."""
 
     after_ms: float
@@ -98,14 +98,14 @@
 
 
 @dataclass(eq=False)
-class Execution:
+class Attempt:
     """One attempt, or several that travel in one call. The carrier reports each part once."""
 
     instance: Instance
     sent: float
     until: float
     parts: list[Entry] = field(default_factory=list)
-    attempts: list[int] = field(default_factory=list)
+    numbers: list[int] = field(default_factory=list)
     open: set[int] = field(default_factory=set)
     by: list[float] = field(default_factory=list)  # part by part, when its last byte has to be handed over
     begun: bool = False  # the journal has it: from then on it may have run
@@ -129,9 +129,9 @@
 class Carrier(Protocol):
     """The instances' side."""
 
-    def execute(self, execution: Execution) -> None: ...
+    def execute(self, attempt: Attempt) -> None: ...
 
-    def cancel(self, execution: Execution) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
 
     def close_idle(self, instance: str) -> None: ...
 
@@ -150,15 +150,15 @@
 
     def refused(self, command: Command, why: str) -> None: ...
 
-    def begins(self, execution: Execution) -> None: ...
+    def begins(self, attempt: Attempt) -> None: ...
 
-    def begun(self, execution: Execution) -> None: ...
+    def begun(self, attempt: Attempt) -> None: ...
 
     def settled(
-        self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float, ended: float
+        self, attempt: Attempt, entry: Entry, outcome: Outcome, wait_ms: float, ended: float
     ) -> None: ...
 
-    def headers(self, execution: Execution) -> list[tuple[str, str]]: ...
+    def headers(self, attempt: Attempt) -> list[tuple[str, str]]: ...
 
     def turned(self, events: Iterable[api.Event], now: float) -> None: ...
 
@@ -197,9 +197,9 @@
         self._served: dict[str, None] = {}  # destinations that were ever listed, the latest last
         self._owed: dict[int, Entry] = {}  # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
-        self._out: dict[int, Execution] = {}  # by message
+        self._out: dict[int, Attempt] = {}  # by message
         self._telling: dict[str, int] = {}  # order keys of which an end is still to be heard, and how many
-        self._behind: dict[str, list[Execution]] = {}  # executions that wait for that
+        self._behind: dict[str, list[Attempt]] = {}  # attempts that wait for that
         self._aside: dict[int, Entry] = {}  # ordered messages of which the module hears once we are alone
         self._events: list[api.Event] = []
         self._due = self.halted = False
@@ -283,7 +283,7 @@
         """The message with that id, while it is held or its outcome is remembered."""
         return self._ids.get((front, id))
 
-    def take(self, command: Command) -> Entry | Nack:
+    def take(self, command: Command) -> Entry | Refusal:
         """Write the message down and hold it, or refuse it at the door."""
         if (known := self.find(command.front, command.id)) is not None:
             return known  # guards against a second life for a command that a client sent once more
@@ -329,11 +329,11 @@
         self._hold(entry)
         return entry
 
-    def refuse(self, command: Command, why: str, after_ms: float = NACK_MS) -> Nack:
+    def refuse(self, command: Command, why: str, after_ms: float = REFUSED_MS) -> Refusal:
         """Refuse at the door what could not be taken on."""
         if self.tracer is not None:
             self.tracer.refused(command, why)
-        return Nack(after_ms, why)
+        return Refusal(after_ms, why)
 
     def _facts(self, message: Command | Entry) -> Facts:
         """What routes know of a message; mail tells its sender and its first recipient."""
@@ -361,8 +361,8 @@
                 if entry.front == front:  # a first try that the process' own end cut off is no retry
                     route, again = door.route(self._facts(entry)), entry.attempts > 1
                     door.hold(entry.number, entry.id, route, entry.tenant, entry.dest, again, now)
-                if execution := self._out.get(entry.number):  # it is out already, and counts as such
-                    door.went(entry.number, execution.sent)
+                if attempt := self._out.get(entry.number):  # it is out already, and counts as such
+                    door.went(entry.number, attempt.sent)
         self.controller.limits = api.Unlimited()
         if self.doors:
             from ashvale.routing.door import Doors
@@ -378,11 +378,11 @@
             door.listed({i.dest for i in self.instances.values()}, ready)
         self._steer = True
 
-    def _judge(self, execution: Execution, outcome: Outcome, over: str, wait_ms: float, now: float) -> None:
+    def _judge(self, attempt: Attempt, outcome: Outcome, over: str, wait_ms: float, now: float) -> None:
         """Tell the doors how a partner did: pools steer by it."""
         ok = True if outcome is Outcome.OK or over else False if outcome in _FAILED else None
         for door in self.doors.values():
-            changed = door.judge(execution.instance.dest, ok, execution.sent, wait_ms, now)
+            changed = door.judge(attempt.instance.dest, ok, attempt.sent, wait_ms, now)
             self._steer = self._steer or changed
 
     def _steering(self) -> None:
@@ -417,9 +417,9 @@
         if self.tracer is not None:
             self.tracer.untold(entry)
 
-    def trace_headers(self, execution: Execution) -> list[tuple[str, str]]:
+    def trace_headers(self, attempt: Attempt) -> list[tuple[str, str]]:
         """What a carrier's call tells of its messages' traces; nothing where tracing is off."""
-        return self.tracer.headers(execution) if self.tracer is not None else []
+        return self.tracer.headers(attempt) if self.tracer is not None else []
 
     def _hold(self, entry: Entry) -> None:
         self._owed[entry.number] = entry
@@ -450,7 +450,7 @@
     def _end_aside(self, entry: Entry) -> None:
         """The other process has outlasted a message, which never ran."""
         if not self.halted and self._aside.pop(entry.number, None) is not None:
-            self._decide(entry, RETURNED, NACK_MS)
+            self._decide(entry, RETURNED, REFUSED_MS)
 
     def _new(self, entry: Entry) -> api.NewMessage:
         ran_at = None if entry.ran_at is None else self.local(entry.ran_at)
@@ -592,7 +592,7 @@
 
     def report(
         self,
-        execution: Execution,
+        attempt: Attempt,
         entry: Entry,
         outcome: Outcome,
         wait_ms: float = 0.0,
@@ -600,34 +600,34 @@
         no_slot: bool = False,
         load: Optional[dict[str, float]] = None,
     ) -> None:
-        """One part of an execution has ended; `over` is the message's end where the instance tells it."""
-        if self.halted or entry.number not in execution.open:
+        """One part of an attempt has ended; `over` is the message's end where the instance tells it."""
+        if self.halted or entry.number not in attempt.open:
             return
-        execution.open.discard(entry.number)
+        attempt.open.discard(entry.number)
         self._out.pop(entry.number, None)
-        attempt = execution.attempts[execution.parts.index(entry)]
+        number = attempt.numbers[attempt.parts.index(entry)]
         finished = outcome is Outcome.OK or bool(over) or entry.number not in self._owed
         ended = self.loop.now()
-        if execution.begun:
+        if attempt.begun:
             self._journal_outcome(entry, outcome, ended, wait_ms)
         if self.tracer is not None:
-            self.tracer.settled(execution, entry, outcome, wait_ms, ended)
+            self.tracer.settled(attempt, entry, outcome, wait_ms, ended)
         if outcome is Outcome.OK or over:
             self._decide(entry, over or DELIVERED)
         now = self.loop.now()
-        took = now - execution.sent
+        took = now - attempt.sent
         if wait_ms > 0:
-            route = self._route(execution.instance)
+            route = self._route(attempt.instance)
             # Guards the wait against what the Controller sends before it hears of it, in the same turn even.
             self._silent[route] = UNHEARD, max(now + wait_ms, self._silent.get(route, (0.0, 0.0))[1])
             self.tell_wait(route, self._silent[route][1])
-        self._judge(execution, outcome, over, wait_ms, now)
+        self._judge(attempt, outcome, over, wait_ms, now)
         log.debug(
-            "execution",
+            "attempt",
             extra={
                 "id": entry.id,
-                "attempt": attempt,
-                "instance": execution.instance.name,
+                "attempt": number,
+                "instance": attempt.instance.name,
                 "outcome": outcome.value,
                 "took": round(took),
                 "wait": wait_ms,
@@ -636,8 +636,8 @@
         self._post(
             api.Settled(
                 entry.number,
-                attempt,
-                execution.instance.name.encode(),
+                number,
+                attempt.instance.name.encode(),
                 outcome,
                 took,
                 finished,
@@ -648,7 +648,7 @@
         )
 
     def probed(
-        self, call: Execution, outcome: Outcome, wait_ms: float = 0.0, load: Optional[dict[str, float]] = None
+        self, call: Attempt, outcome: Outcome, wait_ms: float = 0.0, load: Optional[dict[str, float]] = None
     ) -> None:
         """A probe has ended; a wait that its answer tells binds like any other."""
         if not self.halted:
@@ -657,53 +657,53 @@
             took = self.loop.now() - call.sent
             self._post(api.Probed(call.instance.name.encode(), outcome, took, load or {}))
 
-    def begin(self, execution: Execution) -> bool:
-        """Tell whether an execution may be written, and if so write down first that it begins.
+    def begin(self, attempt: Attempt) -> bool:
+        """Tell whether an attempt may be written, and if so write down first that it begins.
 
         Carriers ask right before they write. What a kill cuts off before this was never tried, and after it
         may have run.
         """
-        if not self.may_write(execution):
+        if not self.may_write(attempt):
             return False
-        if not execution.begun:
+        if not attempt.begun:
             try:
                 self.journal.started(
-                    execution.parts,
+                    attempt.parts,
                     self.wall(self.loop.now()),
-                    self._zones.get(execution.instance.zone, 0),
-                    execution.instance.name,
+                    self._zones.get(attempt.instance.zone, 0),
+                    attempt.instance.name,
                 )
-            except Full as error:  # an execution that the journal does not know must not begin
-                log.error("execution not begun", extra={"why": str(error)})
+            except Full as error:  # an attempt that the journal does not know must not begin
+                log.error("attempt not begun", extra={"why": str(error)})
                 # Guards its attempts against a full disk: it goes again after a pause, not in the next turn.
-                for entry in list(execution.parts):
-                    self.report(execution, entry, Outcome.MOOT, no_slot=True)
+                for entry in list(attempt.parts):
+                    self.report(attempt, entry, Outcome.MOOT, no_slot=True)
                 return False
-            execution.begun = True
+            attempt.begun = True
         return True
 
-    def may_write(self, execution: Execution) -> bool:
-        """Tell whether an execution may still be written; parts that may not leave it, as never run.
+    def may_write(self, attempt: Attempt) -> bool:
+        """Tell whether an attempt may still be written; parts that may not leave it, as never run.
 
         Guards three rules where a connection takes long to come up: on waits, as what the Controller sent
         before it heard of one would arrive in the midst of it; on drains, as the instance may have left the
         list, or another may have its address; and on repeats, as a window that held when the Controller chose
         may have closed (under a cut a connection comes up at the system's second try, a second later).
         """
-        if not self.may_go(execution):
+        if not self.may_go(attempt):
             return False
         now = self.loop.now()
-        for at in [at for at, by in enumerate(execution.by) if now >= by][::-1]:
-            self.report(execution, execution.parts[at], Outcome.MOOT)
-            for parts in (execution.parts, execution.attempts, execution.by):
+        for at in [at for at, by in enumerate(attempt.by) if now >= by][::-1]:
+            self.report(attempt, attempt.parts[at], Outcome.MOOT)
+            for parts in (attempt.parts, attempt.numbers, attempt.by):
                 del parts[at]
-        return bool(execution.parts)
+        return bool(attempt.parts)
 
-    def may_go(self, execution: Execution) -> bool:
+    def may_go(self, attempt: Attempt) -> bool:
         """Tell whether anything may be said to the instance now: told waits, and what the list names."""
-        told, until = self._silent.get(self._route(execution.instance), (0.0, 0.0))
-        waits = execution.sent <= told and self.loop.now() < until
-        return not waits and self._stands(execution.instance)
+        told, until = self._silent.get(self._route(attempt.instance), (0.0, 0.0))
+        waits = attempt.sent <= told and self.loop.now() < until
+        return not waits and self._stands(attempt.instance)
 
     def _stands(self, instance: Instance) -> bool:
         """Tell whether the list still names an instance as ready, and under the address that is held here."""
@@ -716,9 +716,9 @@
             and (known.name not in self.banned)
         )
 
-    def hush(self, execution: Execution, wait_ms: float) -> None:
+    def hush(self, attempt: Attempt, wait_ms: float) -> None:
         """A wait that an answer tells whose end is still to come: it binds all the same, from now on."""
-        route, until = self._route(execution.instance), self.loop.now() + wait_ms
+        route, until = self._route(attempt.instance), self.loop.now() + wait_ms
         self.hear_wait(route, until)
         self.tell_wait(route, until)
 
@@ -744,7 +744,7 @@
     def _journal_outcome(self, entry: Entry, outcome: Outcome, at: float, wait_ms: float) -> None:
         try:
             self.journal.outcome(entry, outcome.never_ran, self.wall(at), _NUMBERS[outcome], wait_ms)
-        except Full as error:  # without the record a restart takes it that the execution may have run
+        except Full as error:  # without the record a restart takes it that the attempt may have run
             log.error("outcome not written", extra={"id": entry.id, "why": str(error)})
 
     # Turns
@@ -757,7 +757,7 @@
             self.loop.call_at(self.loop.now() + wait, self._turn)
 
     def _turn(self) -> None:
-        """Handle the gathered events, then let the executions begin that they brought."""
+        """Handle the gathered events, then let the attempts begin that they brought."""
         if self.halted:
             return
         events = self._events
@@ -768,7 +768,7 @@
 
     def _process(self, events: list[api.Event]) -> None:
         now = self.loop.now()
-        sends: dict[str, list[Execution]] = {}
+        sends: dict[str, list[Attempt]] = {}
         for event in events:
             if isinstance(event, api.NewMessage) and event.message not in self._owed:
                 continue  # withdrawn before its turn
@@ -786,13 +786,13 @@
                 self._forget(
                     line.target.decode() for line in event.lines if line.readiness is api.Readiness.GONE
                 )
-        for executions in sends.values():
-            for execution in executions:
-                self._begin(execution)
+        for attempts in sends.values():
+            for attempt in attempts:
+                self._begin(attempt)
         if self.tracer is not None:
             self.tracer.turned(events, now)
 
-    def _carry_out(self, action: api.Action, now: float, sends: dict[str, list[Execution]]) -> None:
+    def _carry_out(self, action: api.Action, now: float, sends: dict[str, list[Attempt]]) -> None:
         if isinstance(action, api.Send):
             self._join(action, now, sends)
         elif isinstance(action, (api.Refuse, api.Fail)):
@@ -803,8 +803,8 @@
             token = action.token
             self.loop.call_at(now + action.after_ms, lambda: self._post(api.Timer(token), at_once=True))
         elif isinstance(action, api.Cancel):
-            if execution := self._out.get(action.message):
-                self.carriers[execution.instance.carrier].cancel(execution)
+            if attempt := self._out.get(action.message):
+                self.carriers[attempt.instance.carrier].cancel(attempt)
         elif isinstance(action, api.Probe):
             probed = self.instances[action.target.decode()]
             self.carriers[probed.carrier].probe(probed)
@@ -814,40 +814,40 @@
         elif isinstance(action, api.Log):
             log.info(action.text)
 
-    def _join(self, action: api.Send, now: float, sends: dict[str, list[Execution]]) -> None:
+    def _join(self, action: api.Send, now: float, sends: dict[str, list[Attempt]]) -> None:
         """Messages that leave in one turn for one instance share a call, as many as its kind allows."""
         instance, entry = self.instances[action.target.decode()], self._owed[action.message]
         calls = sends.setdefault(instance.name, [])
         most = self.settings.kinds[self._kinds.get(instance.kind, 0)].per_call
         if not calls or len(calls[-1].parts) >= most:
-            calls.append(Execution(instance, now, action.until))
-        execution = calls[-1]
-        execution.parts.append(entry)
-        execution.attempts.append(entry.sends)
+            calls.append(Attempt(instance, now, action.until))
+        attempt = calls[-1]
+        attempt.parts.append(entry)
+        attempt.numbers.append(entry.sends)
         entry.sends += 1
-        execution.by.append(action.by)
-        execution.open.add(entry.number)
-        execution.until = min(execution.until, action.until)
+        attempt.by.append(action.by)
+        attempt.open.add(entry.number)
+        attempt.until = min(attempt.until, action.until)
 
-    def _begin(self, execution: Execution) -> None:
-        if key := next((e.order for e in execution.parts if e.order in self._telling), ""):
+    def _begin(self, attempt: Attempt) -> None:
+        if key := next((e.order for e in attempt.parts if e.order in self._telling), ""):
             # Guards the order of a key: a message that ends by a notice is over when that has been heard.
-            self._behind.setdefault(key, []).append(execution)
-            self.loop.call_at(execution.until, lambda: self._too_long_behind(execution, key))
+            self._behind.setdefault(key, []).append(attempt)
+            self.loop.call_at(attempt.until, lambda: self._too_long_behind(attempt, key))
             return
-        for entry in execution.parts:
-            self._out[entry.number] = execution
+        for entry in attempt.parts:
+            self._out[entry.number] = attempt
         if self.tracer is not None:
-            self.tracer.begins(execution)
-            self.tracer.begun(execution)
-        self.carriers[execution.instance.carrier].execute(execution)
+            self.tracer.begins(attempt)
+            self.tracer.begun(attempt)
+        self.carriers[attempt.instance.carrier].execute(attempt)
 
-    def _too_long_behind(self, execution: Execution, key: str) -> None:
+    def _too_long_behind(self, attempt: Attempt, key: str) -> None:
         """Nobody has heard of the end before it in all its time: it never ran."""
-        if execution in self._behind.get(key, ()):
-            self._behind[key].remove(execution)
-            for entry in execution.parts:
-                self.report(execution, entry, Outcome.MOOT)
+        if attempt in self._behind.get(key, ()):
+            self._behind[key].remove(attempt)
+            for entry in attempt.parts:
+                self.report(attempt, entry, Outcome.MOOT)
 
     def _heard_of(self, key: str) -> None:
         """The end of a message with this order key has been heard; what waits for that begins."""
@@ -855,8 +855,8 @@
         if left > 0:
             self._telling[key] = left
             return
-        for execution in self._behind.pop(key, ()):
-            self._begin(execution)
+        for attempt in self._behind.pop(key, ()):
+            self._begin(attempt)
 
     # Ends
 
@@ -886,7 +886,7 @@
     # The end of the process
 
     def close_at(self, at: float) -> None:
-        """Begin no execution at that time or later."""
+        """Begin no attempt at that time or later."""
         self._post(api.Closing(at), at_once=True)
 
     def halt(self) -> None:
@@ -898,7 +898,7 @@
 
     @property
     def quiet(self) -> bool:
-        """True when no execution is out and nobody waits to hear of an end; messages may still wait."""
+        """True when no attempt is out and nobody waits to hear of an end; messages may still wait."""
         ended = any(e.state and not e.keep_until for e in self.journal.entries.values())
         return not (self._out or self._events or ended)
 
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -33,7 +33,7 @@
 _TRACED = struct.Struct("<dBf")  # behind an outcome, where traced: time, its number, told wait
 TAKEN, STARTED, OUTCOME, DECIDED, ENDED = range(1, 6)
 
-RESERVE = 640  # room kept for what is still to be written about an entry: eight executions and its end
+RESERVE = 640  # room kept for what is still to be written about an entry: eight attempts and its end
 TRACED_RESERVE = 1280  # and for what a traced message's history adds to that
 NAME_MOST, HISTORY_MOST = 60, 24  # bytes of an instance's name in the history, and its lines
 _BLOCK = 512  # files are counted in whole blocks
@@ -61,9 +61,9 @@
     retried: bool = False
     envelope: str = ""  # what a front needs to know besides; the exchange passes it on
     attempts: int = 0
-    out_since: Optional[float] = None  # an execution is out since
+    out_since: Optional[float] = None  # an attempt is out since
     out_zone: int = 0
-    ran_at: Optional[float] = None  # send time of the first execution that may have run
+    ran_at: Optional[float] = None  # send time of the first attempt that may have run
     ran_zone: int = 0
     state: str = ""  # how it ended, once that is decided
     after_ms: float = 0.0
@@ -73,7 +73,7 @@
     taken: float = 0.0  # and when it was taken on
     resumed: bool = False  # an earlier life of the process took it on
     trace: str = ""  # the message's place in a trace; empty where it is not traced
-    # Of a traced message: each execution's begin, instance, outcome (by number), end and told wait; and with
+    # Of a traced message: each attempt's begin, instance, outcome (by number), end and told wait; and with
     # no instance, from when to when no process was there.
     history: list[list[Any]] = field(default_factory=list)
 
@@ -279,7 +279,7 @@
         self._add(entry, len(record))
 
     def started(self, entries: list[Entry], at: float, zone: int, instance: str = "") -> None:
-        """Write down that an execution begins, before it does; and where, for messages that are traced."""
+        """Write down that an attempt begins, before it does; and where, for messages that are traced."""
         name = instance.encode()[:NAME_MOST]
         heads = ((_STARTED.pack(entry.number, at, zone), entry.trace) for entry in entries)
         data = b"".join(_frame(STARTED, head + name if traced else head) for head, traced in heads)
@@ -291,7 +291,7 @@
     def outcome(
         self, entry: Entry, never_ran: bool, at: float = 0.0, number: int = 0, told: float = 0.0
     ) -> None:
-        """Write down how an execution ended; `at`, the outcome's `number` and `told` for traced messages."""
+        """Write down how an attempt ended; `at`, the outcome's `number` and `told` for traced messages."""
         more = _TRACED.pack(at, number, told) if entry.trace else b""
         data = _frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more)
         self._room(len(data))
--- a/ashvale/net/http_client.py
+++ b/ashvale/net/http_client.py
@@ -24,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from ashvale.exchange import Execution
+    from ashvale.exchange import Attempt
 
 BODY_MOST, HEAD_MOST = 64 * 1024, 16 * 1024
 CONNECT_MS = 1000.0  # a connection to discovery's agent comes up within this, or another is tried
@@ -56,7 +56,7 @@
     # make a ring of references, and calls with their messages would wait for the collector.
     on_head: Callable[[Reply], float] = lambda _reply: FOREVER
     partial: bool = False  # that was asked
-    execution: Optional[Execution] = None  # is told when things happened
+    attempt: Optional[Attempt] = None  # is told when things happened
 
 
 class HttpClient:
@@ -84,11 +84,11 @@
         data = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
         data.append(self.http.send(h11.Data(data=body)) if body else b"")
         data.append(self.http.send(h11.EndOfMessage()))
-        by = reply.execution.by if reply.execution is not None else []
+        by = reply.attempt.by if reply.attempt is not None else []
         yield from self.connection.send(b"".join(part or b"" for part in data), min([until, *by]))
         reply.written = True
-        if reply.execution is not None:
-            reply.execution.written = self.connection.loop.now()
+        if reply.attempt is not None:
+            reply.attempt.written = self.connection.loop.now()
         start = b""
         while True:
             try:
@@ -98,8 +98,8 @@
                         reply.partial = True
                         until = min(until, self.connection.loop.now() + reply.on_head(reply))
                     received = yield from self.connection.receive(until)
-                    if reply.execution is not None and not reply.execution.first and received:
-                        reply.execution.first = self.connection.loop.now()
+                    if reply.attempt is not None and not reply.attempt.first and received:
+                        reply.attempt.first = self.connection.loop.now()
                     start = start if reply.status else (start + received)[:64]
                     self.http.receive_data(received)
             except h11.RemoteProtocolError as error:
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -1,6 +1,6 @@
 """The mail front: SMTP (RFC 5321) and LMTP (RFC 2033), as a server for service clients and towards instances.
 
-It owns sessions on both sides and the translation between mail and the exchange's commands and executions. It
+It owns sessions on both sides and the translation between mail and the exchange's commands and attempts. It
 must never decide where or when a message goes, never take a line feed alone for the end of a line (what one
 side reads as the end of a message the other might not), and never answer the final dot before the message's
 one end is decided.
@@ -22,7 +22,7 @@
 
 from ashvale import config
 from ashvale import interface as api
-from ashvale.exchange import DELIVERED, FAILED, RETURNED, Command, Exchange, Execution, Instance, Nack
+from ashvale.exchange import DELIVERED, FAILED, RETURNED, Attempt, Command, Exchange, Instance, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, Signal
@@ -210,7 +210,7 @@
         found = next((r for r in self.setup.senders if fnmatchcase(address.lower(), r.match)), None)
         return found.tenant if found else None if self.setup.senders else ""
 
-    def take(self, envelope: Envelope, body: bytes) -> Entry | Nack:
+    def take(self, envelope: Envelope, body: bytes) -> Entry | Refusal:
         rule = envelope.recipients[0][1]
         cls = self.exchange.message_class(rule.cls)
         recipients = [address for address, _ in envelope.recipients]
@@ -235,9 +235,9 @@
         """What the message's header says of its trace, where tracing is on."""
         return str(head_of(body).get(name, "")) if self.exchange.tracer is not None else ""
 
-    def end_of(self, taken: Entry | Nack) -> Coroutine[tuple[int, str]]:
+    def end_of(self, taken: Entry | Refusal) -> Coroutine[tuple[int, str]]:
         """Wait for the one end of a message and word it as a reply."""
-        if isinstance(taken, Nack):
+        if isinstance(taken, Refusal):
             return 451, f"4.3.2 not taken, {taken.why}; come back after {taken.after_ms:.0f} ms"
         while not taken.state:
             yield self._waiting.setdefault(taken.number, Signal()), FOREVER
@@ -474,7 +474,7 @@
         self.connection, self.lmtp, self.name = connection, lmtp, name
         self.extensions: dict[str, str] = {}
         self.reusable_now = self.written = False
-        self.execution: Optional[Execution] = None  # is told when things happened
+        self.attempt: Optional[Attempt] = None  # is told when things happened
 
     @property
     def reusable(self) -> bool:
@@ -545,16 +545,16 @@
         yield from self._say("DATA", until)
         yield from self.expect(399, until)
         begin()
-        by = self.execution.by if self.execution is not None else []
+        by = self.attempt.by if self.attempt is not None else []
         yield from self.connection.send(stuffed(body), min([until, *by]))
         self.written = True
-        if self.execution is not None:
-            self.execution.written = self.connection.loop.now()
+        if self.attempt is not None:
+            self.attempt.written = self.connection.loop.now()
         answers: list[tuple[int, str]] = []
         for _ in recipients if self.lmtp else [None]:
             code, texts = yield from self.reply(until)
-            if self.execution is not None and not answers:
-                self.execution.first = self.connection.loop.now()
+            if self.attempt is not None and not answers:
+                self.attempt.first = self.connection.loop.now()
             answers.append((code, " ".join(texts)))
         self.reusable_now = all(code != 421 for code, _ in answers)
         return answers
@@ -584,7 +584,7 @@
 
 
 class MailCarrier(Carrier[MailClient]):
-    """Carries executions to instances as mail transactions."""
+    """Carries attempts to instances as mail transactions."""
 
     def __init__(self, loop: Loop, exchange: Exchange, setup: config.Mail, most_idle: int) -> None:
         super().__init__(loop, exchange, most_idle)
@@ -625,29 +625,27 @@
             client.connection.flush()
         client.connection.close()
 
-    def _converse(
-        self, client: Optional[MailClient], execution: Execution
-    ) -> Coroutine[Optional[MailClient]]:
-        entry, until = execution.parts[0], execution.until
+    def _converse(self, client: Optional[MailClient], attempt: Attempt) -> Coroutine[Optional[MailClient]]:
+        entry, until = attempt.parts[0], attempt.until
         envelope = json.loads(entry.envelope)
         outcome, wait, over = Outcome.CONNECT_FAILED, 0.0, ""
         try:
             if client is None:
-                connection = yield from self._connect(execution)
-                lmtp = execution.instance.name.startswith("lmtp:")
+                connection = yield from self._connect(attempt)
+                lmtp = attempt.instance.name.startswith("lmtp:")
                 client = MailClient(connection, lmtp, self.setup.hostname)
                 yield from client.greet(until)
-            client.execution = execution
+            client.attempt = attempt
             body = entry.body
             if self.setup.trace_headers:
-                body = with_headers(body, self.exchange.trace_headers(execution))
+                body = with_headers(body, self.exchange.trace_headers(attempt))
             answers = yield from client.deliver(
                 envelope["from"],
                 envelope["to"],
                 body,
                 until,
-                lambda: self._check(execution),
-                lambda: self._begin(execution),
+                lambda: self._check(attempt),
+                lambda: self._begin(attempt),
             )
             outcome, wait, over = verdict(answers)
         except Declined as error:
@@ -657,14 +655,14 @@
             if client is not None:
                 client.connection.close()
         except (Broken, Expired) as error:
-            log.debug("execution broke", extra={"instance": execution.instance.name, "why": str(error)})
+            log.debug("attempt broke", extra={"instance": attempt.instance.name, "why": str(error)})
             if client is not None and client.written:  # the dot was sent: it may have taken effect
                 outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
             elif isinstance(error, Expired):
-                outcome = self._too_late(execution)
+                outcome = self._too_late(attempt)
                 if client is not None:
                     client.connection.close()  # what has not left yet never does
-        self.exchange.report(execution, entry, outcome, wait, over)
+        self.exchange.report(attempt, entry, outcome, wait, over)
         if (
             client is not None
             and outcome in (Outcome.FULL, Outcome.MOOT)
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -1,7 +1,7 @@
 """The platform's protocol: HTTP/1.1 on both sides, parsed by h11.
 
 It owns the server for service clients and the pool of connections to instances. It translates: commands and
-executions to and from HTTP. It must never decide where or when a message goes, never answer 202 before the
+attempts to and from HTTP. It must never decide where or when a message goes, never answer 202 before the
 exchange has taken a command, and never send a request a second time on its own.
 """
 
@@ -16,7 +16,7 @@
 import h11
 
 from ashvale import interface as api
-from ashvale.exchange import DELIVERED, NACK_MS, RETURNED, Command, Exchange, Execution, Instance, Nack
+from ashvale.exchange import DELIVERED, REFUSED_MS, RETURNED, Attempt, Command, Exchange, Instance, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.loop import (
@@ -275,9 +275,9 @@
             self.exchange.refuse(command, "no such destination")
             if self.exchange.listed:
                 raise Refused(404, f"no destination {command.dest}")
-            return 503, [("Retry-After", f"{NACK_MS / 1000.0:.3f}")], None
+            return 503, [("Retry-After", f"{REFUSED_MS / 1000.0:.3f}")], None
         result = self.exchange.take(command)
-        if isinstance(result, Nack):
+        if isinstance(result, Refusal):
             return 503, [("Retry-After", f"{result.after_ms / 1000.0:.3f}")], None
         return 202, [], result
 
@@ -338,74 +338,70 @@
 
 
 class Pool(Carrier[HttpClient]):
-    """Carries executions to instances as calls."""
+    """Carries attempts to instances as calls."""
 
-    def _converse(
-        self, client: Optional[HttpClient], execution: Execution
-    ) -> Coroutine[Optional[HttpClient]]:
-        reply, instance = Reply(execution=execution), execution.instance
+    def _converse(self, client: Optional[HttpClient], attempt: Attempt) -> Coroutine[Optional[HttpClient]]:
+        reply, instance = Reply(attempt=attempt), attempt.instance
         outcome = Outcome.CONNECT_FAILED
         try:
             if client is None:
-                client = HttpClient((yield from self._connect(execution)), instance.address)
-            self._begin(execution)
-            yield from self._ask(client, execution, reply)
+                client = HttpClient((yield from self._connect(attempt)), instance.address)
+            self._begin(attempt)
+            yield from self._ask(client, attempt, reply)
         except Stopped:
             outcome = Outcome.MOOT
         except Expired:
-            outcome = Outcome.TIMEOUT if reply.written else self._too_late(execution)
+            outcome = Outcome.TIMEOUT if reply.written else self._too_late(attempt)
         except Broken as error:
-            log.debug("execution broke", extra={"instance": instance.name, "why": str(error)})
+            log.debug("attempt broke", extra={"instance": instance.name, "why": str(error)})
             outcome = Outcome.RESET if reply.written else Outcome.CONNECT_FAILED
         # An answer that is spoilt says nothing, but for a first line with 200 where it concerns one message.
-        if reply.whole or (reply.status == 200 and len(execution.parts) == 1):
-            self._settle(execution, reply)
-        for entry in execution.parts:
-            self.exchange.report(execution, entry, outcome, wait_ms(reply.headers))
+        if reply.whole or (reply.status == 200 and len(attempt.parts) == 1):
+            self._settle(attempt, reply)
+        for entry in attempt.parts:
+            self.exchange.report(attempt, entry, outcome, wait_ms(reply.headers))
         return client
 
-    def _ask(self, client: HttpClient, execution: Execution, reply: Reply) -> Coroutine[None]:
-        wait = f"{max(1, round(execution.until - self.loop.now()))}m"
-        reply.on_head = lambda reply: self._first(execution, reply)
-        if len(execution.parts) > 1:
-            body = encode_batch(execution.parts)
-            headers = [("Request-Timeout", wait), *self.exchange.trace_headers(execution)]
-            yield from client.ask("POST", "/hook/batch", headers, body, execution.until, reply)
+    def _ask(self, client: HttpClient, attempt: Attempt, reply: Reply) -> Coroutine[None]:
+        wait = f"{max(1, round(attempt.until - self.loop.now()))}m"
+        reply.on_head = lambda reply: self._first(attempt, reply)
+        if len(attempt.parts) > 1:
+            body = encode_batch(attempt.parts)
+            headers = [("Request-Timeout", wait), *self.exchange.trace_headers(attempt)]
+            yield from client.ask("POST", "/hook/batch", headers, body, attempt.until, reply)
             return
-        entry = execution.parts[0]
+        entry = attempt.parts[0]
         headers = [("Request-Id", entry.id), ("Request-Timeout", wait)]
         if entry.key:
             headers.insert(1, ("Idempotency-Key", entry.key))
-        headers += self.exchange.trace_headers(execution)
-        yield from client.ask("POST", "/hook", headers, entry.body, execution.until, reply)
+        headers += self.exchange.trace_headers(attempt)
+        yield from client.ask("POST", "/hook", headers, entry.body, attempt.until, reply)
 
-    def _first(self, execution: Execution, reply: Reply) -> float:
+    def _first(self, attempt: Attempt, reply: Reply) -> float:
         """Guards slots: a delivery is settled by its first line and does not wait for a rest that trickles.
 
         A refusal is none before it is whole, as a spoilt answer proves nothing; but its wait binds at once.
         """
         if (wait := wait_ms(reply.headers)) > 0:
-            self.exchange.hush(execution, wait)
+            self.exchange.hush(attempt, wait)
         if reply.status != 200:
             return REST_MS
-        if len(execution.parts) > 1:
+        if len(attempt.parts) > 1:
             return FOREVER
-        self._settle(execution, reply)
+        self._settle(attempt, reply)
         return LINGER_MS
 
-    def _settle(self, execution: Execution, reply: Reply) -> None:
+    def _settle(self, attempt: Attempt, reply: Reply) -> None:
         """Report each message of the call by what has come back."""
         wait, busy = wait_ms(reply.headers), reply.headers.get(b"x-line-busy") == b"1"
         load = self._load(reply)
-        ends = decode_batch(bytes(reply.body)) if reply.status == 200 and len(execution.parts) > 1 else None
-        for entry in execution.parts:
+        ends = decode_batch(bytes(reply.body)) if reply.status == 200 and len(attempt.parts) > 1 else None
+        for entry in attempt.parts:
             end = reply.status if ends is None else ends.get(entry.id, "")
             outcome, over = outcome_of(end, busy)
-            if outcome is Outcome.FULL and _crowded(execution, reply, wait):
+            if outcome is Outcome.FULL and _crowded(attempt, reply, wait):
                 outcome = Outcome.CROWDED
-            self.exchange.report(
-                execution, entry, outcome, wait, over, outcome is Outcome.MOOT and busy, load
-            )
+            self.exchange.report(attempt, entry, outcome, wait, over, outcome is Outcome.MOOT and busy, load)
 
     def _load(self, reply: Reply, body: bytes = b"") -> dict[str, float]:
         """The load report in an answer's head, or in the body of a probe's answer."""
@@ -419,7 +415,7 @@
     def _probe(self, instance: Instance) -> Coroutine[None]:
         """Ask an instance how it is. To its partner that is a call like any other: it keeps to waits."""
         began = self.loop.now()
-        call, reply = Execution(instance, began, began + PROBE_MS), Reply()
+        call, reply = Attempt(instance, began, began + PROBE_MS), Reply()
         outcome, load = Outcome.CONNECT_FAILED, dict[str, float]()
         client: Optional[HttpClient] = None
         try:
@@ -443,13 +439,13 @@
             self.exchange.probed(call, outcome, wait_ms(reply.headers), load)
 
 
-def _crowded(execution: Execution, reply: Reply, wait: float) -> bool:
+def _crowded(attempt: Attempt, reply: Reply, wait: float) -> bool:
     """Tell a full connection table from a limit: it turns a new connection away and ends it, with no wait.
 
     Guards pacing: forty couriers' idle connections fill a short table, and each would take that for a limit.
     """
     ends = b"close" in reply.headers.get(b"connection", b"").lower()
-    return reply.status == 503 and ends and wait <= 0.0 and not execution.reused
+    return reply.status == 503 and ends and wait <= 0.0 and not attempt.reused
 
 
 def outcome_of(end: int | str, busy: bool = False) -> tuple[Outcome, str]:
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -1,7 +1,7 @@
-"""What every carrier of executions shares: their tasks, and the connections kept for the next one.
+"""What every carrier of attempts shares: their tasks, and the connections kept for the next one.
 
 It owns the idle connections to instances and closes them in time. It must never decide which instance is
-called, never have two executions on one connection at once, and never let an execution end unreported.
+called, never have two attempts on one connection at once, and never let an attempt end unreported.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from collections import defaultdict
 from typing import Generic, Optional, Protocol, TypeVar
 
-from ashvale.exchange import Exchange, Execution, Instance
+from ashvale.exchange import Attempt, Exchange, Instance
 from ashvale.interface import Outcome
 from ashvale.loop import Connection, Coroutine, Loop, Task, connect, sleep
 
@@ -21,7 +21,7 @@
 
 
 class Stopped(Exception):
-    """The execution is not to be written any more, and never ran: a wait was told, or a window has closed."""
+    """The attempt is not to be written any more, and never ran: a wait was told, or a window has closed."""
 
 
 class Client(Protocol):
@@ -37,7 +37,7 @@
 
 
 class Carrier(ABC, Generic[C]):
-    """Runs executions, each on a connection of its own for as long as it lasts."""
+    """Runs attempts, each on a connection of its own for as long as it lasts."""
 
     def __init__(self, loop: Loop, exchange: Exchange, most_idle: int) -> None:
         self.loop, self.exchange, self.most_idle = loop, exchange, most_idle
@@ -46,19 +46,19 @@
         self._made: dict[int, Connection] = {}
 
     @abstractmethod
-    def _converse(self, client: Optional[C], execution: Execution) -> Coroutine[Optional[C]]:
-        """Carry out one execution and report each part; return what may be used again."""
+    def _converse(self, client: Optional[C], attempt: Attempt) -> Coroutine[Optional[C]]:
+        """Carry out one attempt and report each part; return what may be used again."""
 
     def _drop(self, client: C) -> None:
         """End a connection on which nothing is under way."""
         client.connection.close()
 
-    def execute(self, execution: Execution) -> None:
-        self._tasks[id(execution)] = self.loop.spawn(self._run(execution), "execution")
+    def execute(self, attempt: Attempt) -> None:
+        self._tasks[id(attempt)] = self.loop.spawn(self._run(attempt), "attempt")
 
-    def cancel(self, execution: Execution) -> None:
-        if task := self._tasks.pop(id(execution), None):
-            self._report_all(execution, Outcome.CANCELLED)
+    def cancel(self, attempt: Attempt) -> None:
+        if task := self._tasks.pop(id(attempt), None):
+            self._report_all(attempt, Outcome.CANCELLED)
             task.cancel()
 
     def close_idle(self, instance: str) -> None:
@@ -67,10 +67,10 @@
 
     def probe(self, instance: Instance) -> None:
         """Ask an instance how it is, where its protocol has a way; nothing is known of it then."""
-        self.exchange.probed(Execution(instance, self.loop.now(), self.loop.now()), Outcome.MOOT)
+        self.exchange.probed(Attempt(instance, self.loop.now(), self.loop.now()), Outcome.MOOT)
 
     def halt(self) -> None:
-        """End every execution and connection; nothing is reported any more."""
+        """End every attempt and connection; nothing is reported any more."""
         for task in list(self._tasks.values()):
             task.cancel()
         for name in list(self._idle):
@@ -88,64 +88,64 @@
                 if not self._idle[name]:
                     del self._idle[name]
 
-    def _run(self, execution: Execution) -> Coroutine[None]:
-        name = execution.instance.name
+    def _run(self, attempt: Attempt) -> Coroutine[None]:
+        name = attempt.instance.name
         held: Optional[C] = None
         client: Optional[C] = None
         try:
             held = self._reuse(name)
-            execution.reused = held is not None
-            client = yield from self._converse(held, execution)
+            attempt.reused = held is not None
+            client = yield from self._converse(held, attempt)
         finally:
-            self._tasks.pop(id(execution), None)
-            self._report_all(execution, Outcome.RESET)  # guards the messages against a fault of ours
-            made = self._made.pop(id(execution), None)
+            self._tasks.pop(id(attempt), None)
+            self._report_all(attempt, Outcome.RESET)  # guards the messages against a fault of ours
+            made = self._made.pop(id(attempt), None)
             if client is not None:
                 self._give_back(name, client)
             for connection in (made, held.connection if held is not None else None):
                 if connection is not None and (client is None or connection is not client.connection):
                     connection.close()
 
-    def _check(self, execution: Execution) -> None:
+    def _check(self, attempt: Attempt) -> None:
         """To be called before anything is said of a message."""
-        if not self.exchange.may_write(execution):
+        if not self.exchange.may_write(attempt):
             raise Stopped
 
-    def _begin(self, execution: Execution) -> None:
+    def _begin(self, attempt: Attempt) -> None:
         """To be called right before a message is written."""
-        if not self.exchange.begin(execution):
+        if not self.exchange.begin(attempt):
             raise Stopped
 
-    def _too_late(self, execution: Execution) -> Outcome:
-        """How an execution ended whose time ran out before its last byte was handed over: it never ran.
+    def _too_late(self, attempt: Attempt) -> Outcome:
+        """How an attempt ended whose time ran out before its last byte was handed over: it never ran.
 
         Where its windows closed first that says nothing of the instance, which is not held to be out.
         """
-        return Outcome.CONNECT_FAILED if self.exchange.may_write(execution) else Outcome.MOOT
+        return Outcome.CONNECT_FAILED if self.exchange.may_write(attempt) else Outcome.MOOT
 
-    def _connect(self, execution: Execution) -> Coroutine[Connection]:
+    def _connect(self, attempt: Attempt) -> Coroutine[Connection]:
         limit = min(
-            execution.until, self.loop.now() + self.exchange.settings.connect_timeout_ms, max(execution.by)
+            attempt.until, self.loop.now() + self.exchange.settings.connect_timeout_ms, max(attempt.by)
         )
         # Guards a message whose window is nearly over against waiting for a connection of no use to it.
         ends = [
-            self.loop.call_at(by, lambda: self.exchange.may_write(execution))
-            for by in sorted(set(execution.by))
+            self.loop.call_at(by, lambda: self.exchange.may_write(attempt))
+            for by in sorted(set(attempt.by))
             if by < limit
         ]
         try:
-            connection = yield from connect(self.loop, execution.instance.address, limit)
+            connection = yield from connect(self.loop, attempt.instance.address, limit)
         finally:
             for end in ends:
                 end.cancel()
-        self._made[id(execution)] = connection
-        execution.connected = self.loop.now()
+        self._made[id(attempt)] = connection
+        attempt.connected = self.loop.now()
         return connection
 
-    def _report_all(self, execution: Execution, outcome: Outcome) -> None:
+    def _report_all(self, attempt: Attempt, outcome: Outcome) -> None:
         """Report every part that has not been reported yet."""
-        for entry in execution.parts:
-            self.exchange.report(execution, entry, outcome)
+        for entry in attempt.parts:
+            self.exchange.report(attempt, entry, outcome)
 
     def _usable(self, client: C, since: float) -> bool:
         keep = self.exchange.settings.keepalive_ms - EARLY_MS
--- a/ashvale/trace/recorder.py
+++ b/ashvale/trace/recorder.py
@@ -28,7 +28,8 @@
 from ashvale.trace.store import Failed, Store
 
 if TYPE_CHECKING:
-    from ashvale.exchange import Command, Exchange, Execution
+    from ashvale.exchange import Attempt as Carried
+from ashvale.exchange import Command, Exchange
 
 DESTS_MOST = 512  # destinations whose reasons are followed at once
 STARVED_MOST = 64  # of those without a slot, looked at again in one turn
@@ -381,33 +382,29 @@
     # Attempts
 
     @guarded
-    def begins(self, execution: Execution) -> None:
-        """The execution is about to be written down."""
+    def begins(self, carried: Carried) -> None:
+        """The carried is about to be written down."""
         now = self.loop.now()
-        for entry in execution.parts:
+        for entry in carried.parts:
             if live := self._live.get(entry.number):
                 self._no_longer_waits(live, now)
                 live.phase = "begins"
 
     @guarded
-    def begun(self, execution: Execution) -> None:
+    def begun(self, carried: Carried) -> None:
         """The journal has it, and its carrier is about to have it."""
         now = self.loop.now()
-        for entry, number in zip(execution.parts, execution.attempts, strict=True):
+        for entry, number in zip(carried.parts, carried.numbers, strict=True):
             if live := self._live.get(entry.number):
                 live.life.advance(now, Kind.JOURNAL)
                 live.ref = live.life.begin_attempt(
-                    Attempt(
-                        number + 1, execution.instance.name, members=len(execution.parts), obeyed=live.obeyed
-                    )
+                    Attempt(number + 1, carried.instance.name, members=len(carried.parts), obeyed=live.obeyed)
                 )
                 live.phase, live.obeyed = "out", 0.0
 
     @guarded
-    def settled(
-        self, execution: Execution, entry: Entry, outcome: Outcome, wait_ms: float, ended: float
-    ) -> None:
-        """One part of an execution ended at that time, and the journal has it."""
+    def settled(self, carried: Carried, entry: Entry, outcome: Outcome, wait_ms: float, ended: float) -> None:
+        """One part of an carried ended at that time, and the journal has it."""
         live = self._live.get(entry.number)
         if live is None:
             return
@@ -418,27 +415,26 @@
             if live.ref >= 0:
                 attempt = life.attempts[live.ref]
                 attempt.outcome, attempt.told = outcome.value, wait_ms
-                attempt.reused = execution.reused
+                attempt.reused = carried.reused
                 attempt.connected, attempt.written, attempt.first = (
-                    at - began if at else -1.0
-                    for at in (execution.connected, execution.written, execution.first)
+                    at - began if at else -1.0 for at in (carried.connected, carried.written, carried.first)
                 )
         life.advance(self.loop.now(), Kind.JOURNAL)
         live.hold = 0.0
         self._waits(live)
         self._outcomes[entry.number] = outcome
 
-    def headers(self, execution: Execution) -> list[tuple[str, str]]:
+    def headers(self, carried: Carried) -> list[tuple[str, str]]:
         """What the call tells of its messages' traces."""
         try:
-            return self._headers(execution)
+            return self._headers(carried)
         except Exception:  # guards the call: it goes without
             log.exception("trace not told")
             return []
 
-    def _headers(self, execution: Execution) -> list[tuple[str, str]]:
+    def _headers(self, carried: Carried) -> list[tuple[str, str]]:
         members = []
-        for entry, number in zip(execution.parts, execution.attempts, strict=True):
+        for entry, number in zip(carried.parts, carried.numbers, strict=True):
             live = self._live.get(entry.number)
             found = live.context if live else Context.unpack(entry.trace.split(" ", 3)[-1])
             if found is None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -314,7 +314,7 @@
 
 
 def test_an_outcome_that_could_not_be_written_counts_as_one_that_may_have_run(tmp_path: Path) -> None:
-    """The disk was full for it; the next execution's record must not hide that nothing is known of it."""
+    """The disk was full for it; the next attempt's record must not hide that nothing is known of it."""
     journal = Journal(tmp_path, 400_000)
     entry = Entry(0, "a", "platform", "c", "1", "", "", 1e15, b"")
     journal.take(entry)
@@ -427,7 +427,7 @@
         s.hand_in()
         s.until(lambda: bool(s.courier.exchange._silent))
         (told,) = s.courier.exchange._silent.values()
-        assert s.courier.exchange._out and told[1] - s.loop.now() > 800.0  # the execution is not over yet
+        assert s.courier.exchange._out and told[1] - s.loop.now() > 800.0  # the attempt is not over yet
         s.hand_in()
         s.until(lambda: s.courier.exchange.idle)
         assert one.calls[1].at - one.calls[0].at >= 900.0
@@ -524,7 +524,7 @@
 
 
 def test_a_full_disk_does_not_use_up_a_messages_attempts(monkeypatch: pytest.MonkeyPatch) -> None:
-    """An execution that cannot be journalled as begun is tried again after a pause that doubles."""
+    """An attempt that cannot be journalled as begun is tried again after a pause that doubles."""
     with scene() as s:
         endpoint = s.endpoint()
         s.start()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ashvale import interface as api
-from ashvale.exchange import Command, Exchange, Execution, Instance, Nack
+from ashvale.exchange import Attempt, Command, Exchange, Instance, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Full, Journal
 from ashvale.lab.stands import run
@@ -26,7 +26,7 @@
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
         self.ends: list[tuple[str, str]] = []
-        self.executions: list[Execution] = []
+        self.attempts: list[Attempt] = []
         self.started: list[bool] = []
 
     def ended(self, entry: Entry) -> None:
@@ -36,12 +36,12 @@
     def keep_ms(self, entry: Entry, state: str, after_ms: float) -> float:
         return 0.0
 
-    def execute(self, execution: Execution) -> None:
-        begun = self.exchange.begin(execution)  # as carriers do, right before they write
-        self.started.append(begun and all(e.out_since is not None for e in execution.parts))
-        self.executions.append(execution)
+    def execute(self, attempt: Attempt) -> None:
+        begun = self.exchange.begin(attempt)  # as carriers do, right before they write
+        self.started.append(begun and all(e.out_since is not None for e in attempt.parts))
+        self.attempts.append(attempt)
 
-    def cancel(self, execution: Execution) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
 
     def close_idle(self, instance: str) -> None: ...
 
@@ -75,7 +75,7 @@
     for number in range(5):
         take(notes, str(number))
     rest(notes)
-    assert [len(e.parts) for e in notes.executions] == [3, 2] and all(notes.started)
+    assert [len(e.parts) for e in notes.attempts] == [3, 2] and all(notes.started)
 
 
 def test_an_execution_is_reported_once(notes: Notes) -> None:
@@ -83,9 +83,9 @@
     entry = take(notes, "a")
     rest(notes)
     for outcome in (Outcome.OK, Outcome.RESET, Outcome.OK):
-        notes.exchange.report(notes.executions[0], entry, outcome)
+        notes.exchange.report(notes.attempts[0], entry, outcome)
     rest(notes)
-    assert notes.ends == [("a", "delivered")] and len(notes.executions) == 1 and notes.exchange.idle
+    assert notes.ends == [("a", "delivered")] and len(notes.attempts) == 1 and notes.exchange.idle
 
 
 def test_an_id_that_is_held_is_taken_once(notes: Notes) -> None:
@@ -99,7 +99,7 @@
     notes.exchange.instances_known(api.ListKind.FULL, [HUB])  # its turn would send what waits
     notes.exchange.withdraw(entry)
     rest(notes)
-    assert not notes.executions and notes.exchange.idle
+    assert not notes.attempts and notes.exchange.idle
 
 
 def test_one_carriers_whole_list_says_nothing_of_anothers(notes: Notes) -> None:
@@ -112,7 +112,7 @@
         rest(notes, 5.0)
     take(notes, "a", "partner")
     rest(notes)
-    assert [e.instance.name for e in notes.executions] == ["m"]
+    assert [e.instance.name for e in notes.attempts] == ["m"]
 
 
 def test_instances_that_lists_leave_out_are_forgotten(notes: Notes) -> None:
@@ -132,7 +132,7 @@
     rest(notes)
     notes.exchange.instances_known(api.ListKind.FULL, [HUB])
     rest(notes)
-    assert [e.parts[0].id for e in notes.executions] == ["a"]
+    assert [e.parts[0].id for e in notes.attempts] == ["a"]
 
 
 def test_an_instance_that_is_told_to_be_gone_is_forgotten_with_its_connections(notes: Notes) -> None:
@@ -166,7 +166,7 @@
     take(notes, "a")
     take(notes, "b")
     rest(notes)
-    assert [e.parts[0].id for e in notes.executions] == ["b"]
+    assert [e.parts[0].id for e in notes.attempts] == ["b"]
 
 
 def test_an_execution_that_cannot_be_journalled_does_not_begin(
@@ -179,10 +179,10 @@
     notes.exchange.instances_known(api.ListKind.FULL, [HUB])
     take(notes, "a")
     rest(notes)
-    assert notes.started == [False] and not notes.executions[0].begun
+    assert notes.started == [False] and not notes.attempts[0].begun
 
 
 def test_the_door_is_shut_when_as_much_is_held_as_may_be(notes: Notes) -> None:
     """All that comes before the module's next turn is counted too."""
     results = [take(notes, str(number)) for number in range(9)]
-    assert sum(isinstance(result, Nack) for result in results) == 3
+    assert sum(isinstance(result, Refusal) for result in results) == 3
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -209,7 +209,7 @@
 
 
 def test_a_second_process_writes_beside_the_first_and_adopts_what_it_left(tmp_path: Path) -> None:
-    """Guards an upgrade against two writers of one file, and so against two executions of one message."""
+    """Guards an upgrade against two writers of one file, and so against two attempts of one message."""
     old = _old_process(tmp_path)
     try:
         new = Journal(tmp_path, ROOM)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -12,7 +12,7 @@
 import pytest
 
 from ashvale.control import Controller
-from ashvale.exchange import RETURNED, Exchange, Nack
+from ashvale.exchange import RETURNED, Exchange, Refusal
 from ashvale.lab.disk import FULL, KILL, NO_RENAME, SHORT, TORN
 from ashvale.lab.hunt import draw, hunt
 from ashvale.lab.run import Message, Partner, Rehearsal, Result, Scenario, Trouble, play
@@ -289,15 +289,15 @@
 # The judge sees what is wrong
 
 
-def twice(self: Exchange, execution: Any, real: Any = Exchange._begin) -> None:
-    real(self, execution)
-    if execution.open:
+def twice(self: Exchange, attempt: Any, real: Any = Exchange._begin) -> None:
+    real(self, attempt)
+    if attempt.open:
         other = replace(
-            execution,
-            parts=list(execution.parts),
-            attempts=list(execution.attempts),
+            attempt,
+            parts=list(attempt.parts),
+            attempts=list(attempt.numbers),
             open=set(),
-            by=list(execution.by),
+            by=list(attempt.by),
         )
         self.carriers["platform"].execute(other)
 
@@ -308,7 +308,7 @@
 
 def deaf(
     self: Exchange,
-    execution: Any,
+    attempt: Any,
     entry: Any,
     outcome: Any,
     wait_ms: float = 0.0,
@@ -316,12 +316,12 @@
     real: Any = Exchange.report,
     **named: Any,
 ) -> None:
-    real(self, execution, entry, outcome, 0.0, *more, **named)
+    real(self, attempt, entry, outcome, 0.0, *more, **named)
 
 
 def takes_what_it_refuses(self: Exchange, command: Any, real: Any = Exchange.take) -> Any:
     real(self, command)
-    return Nack(500.0, "no")
+    return Refusal(500.0, "no")
 
 
 def denies(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ashvale.exchange import Execution, Instance
+from ashvale.exchange import Attempt, Instance
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.lab.stands import DROP, STALL
@@ -125,8 +125,8 @@
             for name, value in (line.split(b": ") for line in rest.split(b"\r\n") if line)
         ),
     )
-    execution = Execution(Instance("s-1", "1", ("127.0.0.1", 1)), 0.0, 1.0, reused=reused)
-    assert platform._crowded(execution, reply, http_client.wait_ms(reply.headers)) is crowded
+    attempt = Attempt(Instance("s-1", "1", ("127.0.0.1", 1)), 0.0, 1.0, reused=reused)
+    assert platform._crowded(attempt, reply, http_client.wait_ms(reply.headers)) is crowded
 
 
 def test_a_known_list_is_followed_by_its_changes_alone() -> None:
@@ -537,15 +537,15 @@
 
 def test_a_call_that_is_over_is_freed_without_the_collector() -> None:
     """Guards memory: calls, each with its messages, waited for the collector, some ten megabytes of them."""
-    kept = list[weakref.ref[Execution]]()
+    kept = list[weakref.ref[Attempt]]()
     with scene() as s:
         s.endpoint(kind="hub")
         s.start()
         execute = s.courier.pool.execute
 
-        def noted(execution: Execution) -> None:
-            kept.append(weakref.ref(execution))
-            execute(execution)
+        def noted(attempt: Attempt) -> None:
+            kept.append(weakref.ref(attempt))
+            execute(attempt)
 
         s.courier.pool.execute = noted  # type: ignore[method-assign]
         gc.collect()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -16,7 +16,7 @@
 from ashvale import config, rehearsal
 from ashvale import interface as api
 from ashvale.courier import Courier
-from ashvale.exchange import Command, Exchange, Execution, Instance
+from ashvale.exchange import Attempt, Command, Exchange, Instance
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Journal
 from ashvale.lab.mail import Client, Partner
@@ -457,7 +457,7 @@
         self.exchange.carriers["platform"] = self  # type: ignore[assignment]
         setup = config.Trace(folder / "trace", **{"budget": 10_000_000, "age_ms": 1e12, "share": 1.0, **keys})
         self.tracer = self.exchange.tracer = Recorder(self.exchange, setup, "n1", random.Random(5).randbytes)
-        self.out: list[tuple[Execution, Entry]] = []
+        self.out: list[tuple[Attempt, Entry]] = []
         self.untold: list[Entry] = []
         self.begun: dict[str, int] = {}
         self.life: dict[str, tuple[float, float]] = {}
@@ -490,12 +490,12 @@
     def keep_ms(self, entry: Entry, state: str, after_ms: float) -> float:
         return 0.0
 
-    def execute(self, execution: Execution) -> None:
-        for entry in execution.parts:
-            self.out.append((execution, entry))
+    def execute(self, attempt: Attempt) -> None:
+        for entry in attempt.parts:
+            self.out.append((attempt, entry))
             self.begun[entry.id] = self.begun.get(entry.id, 0) + 1
 
-    def cancel(self, execution: Execution) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
 
     def close_idle(self, instance: str) -> None: ...
 
@@ -533,8 +533,8 @@
         elif what == "wait":
             world.loop.pass_by(number)
         elif what == "end" and world.out:
-            execution, entry = world.out.pop(number % len(world.out))
-            world.exchange.report(execution, entry, more, 70.0 * (number % 3))
+            attempt, entry = world.out.pop(number % len(world.out))
+            world.exchange.report(attempt, entry, more, 70.0 * (number % 3))
         elif what == "list":
             world.list(number, more)
         elif what == "withdraw" and world.exchange._owed:
@@ -574,7 +574,7 @@
     world.exchange.configure(api.Settings(**{**vars(world.exchange.settings), "slots": 400}))
     world.list(30)
     sequence = random.Random(3)
-    due: list[tuple[float, Execution, Entry]] = []
+    due: list[tuple[float, Attempt, Entry]] = []
     count = 0
     while world.loop.now() < 360_000.0:
         for _ in range(6):
@@ -583,8 +583,8 @@
         world.loop.pass_by(100.0)
         due += [(world.loop.now() + sequence.uniform(1500.0, 3500.0), *pair) for pair in world.out]
         world.out.clear()
-        for _at, execution, entry in [d for d in due if d[0] <= world.loop.now()]:
-            world.exchange.report(execution, entry, Outcome.OK)
+        for _at, attempt, entry in [d for d in due if d[0] <= world.loop.now()]:
+            world.exchange.report(attempt, entry, Outcome.OK)
         due = [d for d in due if d[0] > world.loop.now()]
         while world.untold:
             world.tell(world.untold.pop())
