--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -60,7 +60,7 @@
             self._mail_carrier(told.mail)
         self._share(told)
         self.log_as: Callable[[config.Config], None] = lambda _told: None
-        # After `_platform`, whose known list names the instances that a wait silences.
+        # After `_platform`, whose known list names the endpoints that a wait silences.
         self.waits = Waits(
             loop,
             told.state,
@@ -102,7 +102,7 @@
 
             def ready(self) -> bool:
                 # A list that the file names is followed by its changes alone; no whole one may come for long.
-                known = courier.exchange.listed or bool(courier.exchange.instances)
+                known = courier.exchange.listed or bool(courier.exchange.endpoints)
                 return known and not courier.leaving
 
             def by_hand(self) -> list[str]:
@@ -227,7 +227,7 @@
         self._always(self.carrier.sweep, "mail pool")
 
     def _share(self, told: config.Config) -> None:
-        """Half of the descriptors are for service clients, a quarter for idle connections to instances."""
+        """Half of the descriptors are for service clients, a quarter for idle connections to endpoints."""
         sockets = told.limits.sockets
         mail_clients = sum(where.most for where in told.mail.listen) if told.mail else 0
         if self.server is not None:
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -1,4 +1,4 @@
-"""The exchange: the only place where the service clients' side and the instances' side meet.
+"""The exchange: the only place where the service clients' side and the endpoints' side meet.
 
 It owns the messages held, and drives the Controller, its timers and the journal. It knows no wire: fronts
 hand it commands and are told how these end, carriers are given attempts and report how those end. It must
@@ -53,7 +53,7 @@
 
 
 @dataclass(frozen=True)
-class Instance:
+class Endpoint:
     """An endpoint: who it is, what it serves, and where this courier reaches it."""
 
     name: str
@@ -101,7 +101,7 @@
 class Attempt:
     """One attempt, or several that travel in one call. The carrier reports each part once."""
 
-    instance: Instance
+    endpoint: Endpoint
     sent: float
     until: float
     parts: list[Entry] = field(default_factory=list)
@@ -127,15 +127,15 @@
 
 
 class Carrier(Protocol):
-    """The instances' side."""
+    """The endpoints' side."""
 
     def execute(self, attempt: Attempt) -> None: ...
 
     def cancel(self, attempt: Attempt) -> None: ...
 
-    def close_idle(self, instance: str) -> None: ...
+    def close_idle(self, endpoint: str) -> None: ...
 
-    def probe(self, instance: Instance) -> None:
+    def probe(self, endpoint: Endpoint) -> None:
         """Ask it how it is, then call `Exchange.probed`."""
 
     def halt(self) -> None: ...
@@ -185,15 +185,15 @@
         self.controller = Controller(settings, seed)
         self.fronts: dict[str, Front] = {}
         self.carriers: dict[str, Carrier] = {}
-        self.instances: dict[str, Instance] = {}
+        self.endpoints: dict[str, Endpoint] = {}
         self._use(settings)
         self._named: dict[str, int] = {}
         self._silent: dict[str, tuple[float, float]] = {}  # told waits, by route: told at, until
-        self._left: set[str] = set()  # instances that the last whole list left out
+        self._left: set[str] = set()  # endpoints that the last whole list left out
         self.tell_wait: Callable[[str, float], None] = lambda _route, _until: None  # to who runs beside us
         self.listed = False  # a whole list was told in this life of the process
-        self.banned: frozenset[str] = frozenset()  # instances that operators took out of service, a fact
-        self.ever: dict[str, None] = {}  # names of instances ever listed, the latest last; bounded
+        self.banned: frozenset[str] = frozenset()  # endpoints that operators took out of service, a fact
+        self.ever: dict[str, None] = {}  # names of endpoints ever listed, the latest last; bounded
         self._served: dict[str, None] = {}  # destinations that were ever listed, the latest last
         self._owed: dict[int, Entry] = {}  # no end decided yet
         self._ids: dict[tuple[str, str], Entry] = {}  # by front and id, as long as they are remembered
@@ -238,7 +238,7 @@
         return self.settings.classes[self._classes[name]] if name in self._classes else None
 
     def serves(self, dest: str) -> bool:
-        """Tell whether a destination was ever listed: its instances may come and go."""
+        """Tell whether a destination was ever listed: its endpoints may come and go."""
         return dest in self._served
 
     def _dest(self, name: str) -> int:
@@ -370,19 +370,19 @@
             self.controller.limits = Doors(self.doors.values())
 
     def _listed(self) -> None:
-        """Tell the doors which destinations have a ready instance."""
+        """Tell the doors which destinations have a ready endpoint."""
         ready = {
-            i.dest for i in self.instances.values() if i.ready and not i.gone and i.name not in self._left
+            i.dest for i in self.endpoints.values() if i.ready and not i.gone and i.name not in self._left
         }
         for door in self.doors.values():
-            door.listed({i.dest for i in self.instances.values()}, ready)
+            door.listed({i.dest for i in self.endpoints.values()}, ready)
         self._steer = True
 
     def _judge(self, attempt: Attempt, outcome: Outcome, over: str, wait_ms: float, now: float) -> None:
         """Tell the doors how a partner did: pools steer by it."""
         ok = True if outcome is Outcome.OK or over else False if outcome in _FAILED else None
         for door in self.doors.values():
-            changed = door.judge(attempt.instance.dest, ok, attempt.sent, wait_ms, now)
+            changed = door.judge(attempt.endpoint.dest, ok, attempt.sent, wait_ms, now)
             self._steer = self._steer or changed
 
     def _steering(self) -> None:
@@ -503,48 +503,48 @@
             except Full as error:  # after a restart it would be told once more, which does no harm
                 log.error("end not written", extra={"id": entry.id, "why": str(error)})
 
-    # The instances' side
+    # The endpoints' side
 
-    def instances_known(self, how: api.ListKind, instances: Iterable[Instance], version: int = 0) -> None:
-        """News of the list: the whole of one carrier's instances, or what changed."""
-        lines, told = [], list(instances)
+    def endpoints_known(self, how: api.ListKind, endpoints: Iterable[Endpoint], version: int = 0) -> None:
+        """News of the list: the whole of one carrier's endpoints, or what changed."""
+        lines, told = [], list(endpoints)
         self.listed = self.listed or how is api.ListKind.FULL
         if how is not api.ListKind.DELTA:
-            # Guards one carrier's instances against another's whole list, which says nothing of them.
-            carriers = {instance.carrier for instance in told} or {"platform"}
-            told += [i for i in self.instances.values() if i.carrier not in carriers]
+            # Guards one carrier's endpoints against another's whole list, which says nothing of them.
+            carriers = {endpoint.carrier for endpoint in told} or {"platform"}
+            told += [i for i in self.endpoints.values() if i.carrier not in carriers]
             # What two whole lists leave out is forgotten; one is not enough, as the Controller has yet to
             # hear of it and may still name it. Nor are two that come in one turn, for the same reason.
             names = {i.name for i in told}
             if not any(isinstance(event, api.ListKnown) for event in self._events):
-                used = names | {e.instance.name for e in self._out.values()}
-                self.instances = {n: i for n, i in self.instances.items() if n in used or n not in self._left}
-            self._left = self.instances.keys() - names
+                used = names | {e.endpoint.name for e in self._out.values()}
+                self.endpoints = {n: i for n, i in self.endpoints.items() if n in used or n not in self._left}
+            self._left = self.endpoints.keys() - names
         else:
-            self._left -= {instance.name for instance in told}
-        for instance in told:
-            known = self.instances.get(instance.name)
-            gone = instance.gone
-            instance = replace(known, gone=True) if gone and known else instance
-            ready = instance.ready and instance.name not in self.banned  # a ban drains, whatever is listed
+            self._left -= {endpoint.name for endpoint in told}
+        for endpoint in told:
+            known = self.endpoints.get(endpoint.name)
+            gone = endpoint.gone
+            endpoint = replace(known, gone=True) if gone and known else endpoint
+            ready = endpoint.ready and endpoint.name not in self.banned  # a ban drains, whatever is listed
             readiness = (
                 api.Readiness.GONE if gone else api.Readiness.READY if ready else api.Readiness.DRAINING
             )
-            _remember(self.ever, instance.name)
-            if known and known.address != instance.address:
+            _remember(self.ever, endpoint.name)
+            if known and known.address != endpoint.address:
                 self.carriers[known.carrier].close_idle(known.name)
-            self.instances[instance.name] = instance
-            _remember(self._served, instance.dest)
+            self.endpoints[endpoint.name] = endpoint
+            _remember(self._served, endpoint.dest)
             lines.append(
                 api.Listing(
-                    instance.name.encode(),
-                    self._dest(instance.dest),
-                    self._kinds.get(instance.kind, 0),
-                    self._zones.get(instance.zone, 0),
+                    endpoint.name.encode(),
+                    self._dest(endpoint.dest),
+                    self._kinds.get(endpoint.kind, 0),
+                    self._zones.get(endpoint.zone, 0),
                     readiness,
-                    instance.rate,
-                    instance.born_ms,
-                    self._silent.get(self._route(instance), (0.0, 0.0))[1],
+                    endpoint.rate,
+                    endpoint.born_ms,
+                    self._silent.get(self._route(endpoint), (0.0, 0.0))[1],
                 )
             )
         if self.doors:
@@ -554,12 +554,12 @@
     def ban(self, names: frozenset[str]) -> None:
         """Operators' bans as they now stand: those whose state changes are told to the module anew."""
         changed, self.banned = names ^ self.banned, names
-        again = [instance for instance in self._told_now() if instance.name in changed]
+        again = [endpoint for endpoint in self._told_now() if endpoint.name in changed]
         if again:
-            self.instances_known(api.ListKind.DELTA, again)
+            self.endpoints_known(api.ListKind.DELTA, again)
 
     def beside(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
-        """An instance's destination and zone, and all instances of that destination and the ready ones, each
+        """An endpoint's destination and zone, and all endpoints of that destination and the ready ones, each
         with its zone; None for one that the list does not name."""
         now = {i.name: i for i in self._told_now()}
         if (found := now.get(name)) is None:
@@ -573,22 +573,22 @@
         """Ends in this life, how many of them were given up, and messages that are owed now."""
         return self.ends, self.given_up, len(self._owed)
 
-    def _told_now(self) -> list[Instance]:
-        """The instances that the list names as it stands; the others must not be told anew as if it did."""
-        return [i for i in self.instances.values() if not i.gone and i.name not in self._left]
+    def _told_now(self) -> list[Endpoint]:
+        """The endpoints that the list names as it stands; the others must not be told anew as if it did."""
+        return [i for i in self.endpoints.values() if not i.gone and i.name not in self._left]
 
     def hear_wait(self, route: str, until: float) -> None:
         """A wait that the other process of this courier was told; to the partners both are one."""
         if until > max(self.loop.now(), self._silent.get(route, (0.0, 0.0))[1]):
             self._silent[route] = UNHEARD, until
-            self.instances_known(api.ListKind.DELTA, [i for i in self._told_now() if self._route(i) == route])
+            self.endpoints_known(api.ListKind.DELTA, [i for i in self._told_now() if self._route(i) == route])
 
     def _forget(self, gone: Iterable[str]) -> None:
         """The Controller has heard that they are gone: nothing refers to them but what is out."""
         for name in gone:
-            if (instance := self.instances.get(name)) and instance.gone:  # not listed again meanwhile
-                del self.instances[name]
-                self.carriers[instance.carrier].close_idle(name)
+            if (endpoint := self.endpoints.get(name)) and endpoint.gone:  # not listed again meanwhile
+                del self.endpoints[name]
+                self.carriers[endpoint.carrier].close_idle(name)
 
     def report(
         self,
@@ -600,7 +600,7 @@
         no_slot: bool = False,
         load: Optional[dict[str, float]] = None,
     ) -> None:
-        """One part of an attempt has ended; `over` is the message's end where the instance tells it."""
+        """One part of an attempt has ended; `over` is the message's end where the endpoint tells it."""
         if self.halted or entry.number not in attempt.open:
             return
         attempt.open.discard(entry.number)
@@ -617,7 +617,7 @@
         now = self.loop.now()
         took = now - attempt.sent
         if wait_ms > 0:
-            route = self._route(attempt.instance)
+            route = self._route(attempt.endpoint)
             # Guards the wait against what the Controller sends before it hears of it, in the same turn even.
             self._silent[route] = UNHEARD, max(now + wait_ms, self._silent.get(route, (0.0, 0.0))[1])
             self.tell_wait(route, self._silent[route][1])
@@ -627,7 +627,7 @@
             extra={
                 "id": entry.id,
                 "attempt": number,
-                "instance": attempt.instance.name,
+                "endpoint": attempt.endpoint.name,
                 "outcome": outcome.value,
                 "took": round(took),
                 "wait": wait_ms,
@@ -637,7 +637,7 @@
             api.Settled(
                 entry.number,
                 number,
-                attempt.instance.name.encode(),
+                attempt.endpoint.name.encode(),
                 outcome,
                 took,
                 finished,
@@ -655,7 +655,7 @@
             if wait_ms > 0:
                 self.hush(call, wait_ms)
             took = self.loop.now() - call.sent
-            self._post(api.Probed(call.instance.name.encode(), outcome, took, load or {}))
+            self._post(api.Probed(call.endpoint.name.encode(), outcome, took, load or {}))
 
     def begin(self, attempt: Attempt) -> bool:
         """Tell whether an attempt may be written, and if so write down first that it begins.
@@ -670,8 +670,8 @@
                 self.journal.started(
                     attempt.parts,
                     self.wall(self.loop.now()),
-                    self._zones.get(attempt.instance.zone, 0),
-                    attempt.instance.name,
+                    self._zones.get(attempt.endpoint.zone, 0),
+                    attempt.endpoint.name,
                 )
             except Full as error:  # an attempt that the journal does not know must not begin
                 log.error("attempt not begun", extra={"why": str(error)})
@@ -686,7 +686,7 @@
         """Tell whether an attempt may still be written; parts that may not leave it, as never run.
 
         Guards three rules where a connection takes long to come up: on waits, as what the Controller sent
-        before it heard of one would arrive in the midst of it; on drains, as the instance may have left the
+        before it heard of one would arrive in the midst of it; on drains, as the endpoint may have left the
         list, or another may have its address; and on repeats, as a window that held when the Controller chose
         may have closed (under a cut a connection comes up at the system's second try, a second later).
         """
@@ -700,46 +700,46 @@
         return bool(attempt.parts)
 
     def may_go(self, attempt: Attempt) -> bool:
-        """Tell whether anything may be said to the instance now: told waits, and what the list names."""
-        told, until = self._silent.get(self._route(attempt.instance), (0.0, 0.0))
+        """Tell whether anything may be said to the endpoint now: told waits, and what the list names."""
+        told, until = self._silent.get(self._route(attempt.endpoint), (0.0, 0.0))
         waits = attempt.sent <= told and self.loop.now() < until
-        return not waits and self._stands(attempt.instance)
+        return not waits and self._stands(attempt.endpoint)
 
-    def _stands(self, instance: Instance) -> bool:
-        """Tell whether the list still names an instance as ready, and under the address that is held here."""
-        known = self.instances.get(instance.name)
+    def _stands(self, endpoint: Endpoint) -> bool:
+        """Tell whether the list still names an endpoint as ready, and under the address that is held here."""
+        known = self.endpoints.get(endpoint.name)
         listed = known is not None and known.ready and not known.gone and known.name not in self._left
         return (
             known is not None
             and listed
-            and known.address == instance.address
+            and known.address == endpoint.address
             and (known.name not in self.banned)
         )
 
     def hush(self, attempt: Attempt, wait_ms: float) -> None:
         """A wait that an answer tells whose end is still to come: it binds all the same, from now on."""
-        route, until = self._route(attempt.instance), self.loop.now() + wait_ms
+        route, until = self._route(attempt.endpoint), self.loop.now() + wait_ms
         self.hear_wait(route, until)
         self.tell_wait(route, until)
 
-    def _heard(self, instance: str, now: float) -> None:
-        """The Controller knows of a wait that an instance told, and sends no more by itself."""
-        if (known := self.instances.get(instance)) and (route := self._route(known)) in self._silent:
+    def _heard(self, endpoint: str, now: float) -> None:
+        """The Controller knows of a wait that an endpoint told, and sends no more by itself."""
+        if (known := self.endpoints.get(endpoint)) and (route := self._route(known)) in self._silent:
             self._silent[route] = now, self._silent[route][1]
 
-    def told_wait(self, instance: str) -> float:
-        """Until when the wait runs that an instance's destination, or route apart, told; 0 if none."""
-        known = self.instances.get(instance)
+    def told_wait(self, endpoint: str) -> float:
+        """Until when the wait runs that an endpoint's destination, or route apart, told; 0 if none."""
+        known = self.endpoints.get(endpoint)
         return self._silent.get(self._route(known), (0.0, 0.0))[1] if known else 0.0
 
     def dest_number(self, name: str) -> int:
         """The number by which the Controller knows a destination."""
         return self._dest(name)
 
-    def _route(self, instance: Instance) -> str:
-        """What shares a wait: a destination, or one instance where its kind has routes apart."""
-        apart = self.settings.kinds[self._kinds.get(instance.kind, 0)].routes_apart
-        return f"instance {instance.name}" if apart else f"destination {instance.dest}"
+    def _route(self, endpoint: Endpoint) -> str:
+        """What shares a wait: a destination, or one endpoint where its kind has routes apart."""
+        apart = self.settings.kinds[self._kinds.get(endpoint.kind, 0)].routes_apart
+        return f"endpoint {endpoint.name}" if apart else f"destination {endpoint.dest}"
 
     def _journal_outcome(self, entry: Entry, outcome: Outcome, at: float, wait_ms: float) -> None:
         try:
@@ -804,23 +804,23 @@
             self.loop.call_at(now + action.after_ms, lambda: self._post(api.Timer(token), at_once=True))
         elif isinstance(action, api.Cancel):
             if attempt := self._out.get(action.message):
-                self.carriers[attempt.instance.carrier].cancel(attempt)
+                self.carriers[attempt.endpoint.carrier].cancel(attempt)
         elif isinstance(action, api.Probe):
-            probed = self.instances[action.target.decode()]
+            probed = self.endpoints[action.target.decode()]
             self.carriers[probed.carrier].probe(probed)
         elif isinstance(action, api.CloseIdle):
-            if instance := self.instances.get(action.target.decode()):
-                self.carriers[instance.carrier].close_idle(instance.name)
+            if endpoint := self.endpoints.get(action.target.decode()):
+                self.carriers[endpoint.carrier].close_idle(endpoint.name)
         elif isinstance(action, api.Log):
             log.info(action.text)
 
     def _join(self, action: api.Send, now: float, sends: dict[str, list[Attempt]]) -> None:
-        """Messages that leave in one turn for one instance share a call, as many as its kind allows."""
-        instance, entry = self.instances[action.target.decode()], self._owed[action.message]
-        calls = sends.setdefault(instance.name, [])
-        most = self.settings.kinds[self._kinds.get(instance.kind, 0)].per_call
+        """Messages that leave in one turn for one endpoint share a call, as many as its kind allows."""
+        endpoint, entry = self.endpoints[action.target.decode()], self._owed[action.message]
+        calls = sends.setdefault(endpoint.name, [])
+        most = self.settings.kinds[self._kinds.get(endpoint.kind, 0)].per_call
         if not calls or len(calls[-1].parts) >= most:
-            calls.append(Attempt(instance, now, action.until))
+            calls.append(Attempt(endpoint, now, action.until))
         attempt = calls[-1]
         attempt.parts.append(entry)
         attempt.numbers.append(entry.sends)
@@ -840,7 +840,7 @@
         if self.tracer is not None:
             self.tracer.begins(attempt)
             self.tracer.begun(attempt)
-        self.carriers[attempt.instance.carrier].execute(attempt)
+        self.carriers[attempt.endpoint.carrier].execute(attempt)
 
     def _too_long_behind(self, attempt: Attempt, key: str) -> None:
         """Nobody has heard of the end before it in all its time: it never ran."""
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -35,7 +35,7 @@
 
 RESERVE = 640  # room kept for what is still to be written about an entry: eight attempts and its end
 TRACED_RESERVE = 1280  # and for what a traced message's history adds to that
-NAME_MOST, HISTORY_MOST = 60, 24  # bytes of an instance's name in the history, and its lines
+NAME_MOST, HISTORY_MOST = 60, 24  # bytes of an endpoint's name in the history, and its lines
 _BLOCK = 512  # files are counted in whole blocks
 _MARGIN = 32 * 1024  # kept free of the disk's limit
 log = logging.getLogger(__name__)
@@ -73,8 +73,8 @@
     taken: float = 0.0  # and when it was taken on
     resumed: bool = False  # an earlier life of the process took it on
     trace: str = ""  # the message's place in a trace; empty where it is not traced
-    # Of a traced message: each attempt's begin, instance, outcome (by number), end and told wait; and with
-    # no instance, from when to when no process was there.
+    # Of a traced message: each attempt's begin, endpoint, outcome (by number), end and told wait; and with
+    # no endpoint, from when to when no process was there.
     history: list[list[Any]] = field(default_factory=list)
 
     _KEPT = (
@@ -110,12 +110,12 @@
         fields: dict[str, Any] = json.loads(data[4 : 4 + size])
         return cls(body=data[4 + size :], **fields)
 
-    def started(self, at: float, zone: int, instance: str = "") -> None:
+    def started(self, at: float, zone: int, endpoint: str = "") -> None:
         if self.out_since is not None:  # guards the rule on repeats where an outcome could not be written
             self.outcome(False)
         self.attempts, self.out_since, self.out_zone = self.attempts + 1, at, zone
         if self.trace and len(self.history) < HISTORY_MOST:
-            self.history.append([at, instance, 0, at, 0.0])
+            self.history.append([at, endpoint, 0, at, 0.0])
 
     def outcome(self, never_ran: bool, at: float = 0.0, number: int = 0, told: float = 0.0) -> None:
         if not never_ran and self.ran_at is None:
@@ -278,9 +278,9 @@
         self._next += 1
         self._add(entry, len(record))
 
-    def started(self, entries: list[Entry], at: float, zone: int, instance: str = "") -> None:
+    def started(self, entries: list[Entry], at: float, zone: int, endpoint: str = "") -> None:
         """Write down that an attempt begins, before it does; and where, for messages that are traced."""
-        name = instance.encode()[:NAME_MOST]
+        name = endpoint.encode()[:NAME_MOST]
         heads = ((_STARTED.pack(entry.number, at, zone), entry.trace) for entry in entries)
         data = b"".join(_frame(STARTED, head + name if traced else head) for head, traced in heads)
         self._room(len(data))
--- a/ashvale/net/discovery.py
+++ b/ashvale/net/discovery.py
@@ -14,7 +14,7 @@
 
 from ashvale import interface as api
 from ashvale.config import ConfigError, address, get
-from ashvale.exchange import Exchange, Instance
+from ashvale.exchange import Endpoint, Exchange
 from ashvale.loop import Address, Broken, Coroutine, Expired, Loop, Signal
 from ashvale.net.http_client import Channel
 
@@ -33,14 +33,14 @@
 log = logging.getLogger(__name__)
 
 
-def decode_host(data: Any) -> Instance:
+def decode_host(data: Any) -> Endpoint:
     """One line of discovery's list."""
     try:
         where = address(get(data, "dial", str, "", "host"), "dial", "host")
     except ConfigError:  # one line that cannot be used must not cost the others
         where = "0.0.0.0", 0
     state = get(data, "health", str, what="host")
-    return Instance(
+    return Endpoint(
         name=get(data, "host", str, what="host"),
         dest=str(get(data, "block", int, 0, "host")),
         address=where,
@@ -90,7 +90,7 @@
 
     version: int
     whole: bool
-    endpoints: list[Instance]
+    endpoints: list[Endpoint]
 
 
 class AgentRefused(Broken):
@@ -132,7 +132,7 @@
         """Start with the list as the courier last had it."""
         if data:
             told = decode_list(data)
-            self.exchange.instances_known(api.ListKind.CACHED, told.endpoints, told.version)
+            self.exchange.endpoints_known(api.ListKind.CACHED, told.endpoints, told.version)
             self._known = told.version
 
     def run(self) -> Coroutine[None]:
@@ -155,7 +155,7 @@
             self._known = told.version
             if told.whole or told.endpoints:
                 kind = api.ListKind.FULL if told.whole else api.ListKind.DELTA
-                self.exchange.instances_known(kind, told.endpoints, told.version)
+                self.exchange.endpoints_known(kind, told.endpoints, told.version)
 
     def _ask(self, since: Optional[int]) -> Coroutine[EndpointList]:
         """One call: for the whole list, or a long poll for what came after the version `since`."""
--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -1,4 +1,4 @@
-"""The mail front: SMTP (RFC 5321) and LMTP (RFC 2033), as a server for service clients and towards instances.
+"""The mail front: SMTP (RFC 5321) and LMTP (RFC 2033), as a server for service clients and towards endpoints.
 
 It owns sessions on both sides and the translation between mail and the exchange's commands and attempts. It
 must never decide where or when a message goes, never take a line feed alone for the end of a line (what one
@@ -22,7 +22,7 @@
 
 from ashvale import config
 from ashvale import interface as api
-from ashvale.exchange import DELIVERED, FAILED, RETURNED, Attempt, Command, Exchange, Instance, Refusal
+from ashvale.exchange import DELIVERED, FAILED, RETURNED, Attempt, Command, Endpoint, Exchange, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, Signal
@@ -446,7 +446,7 @@
         return False
 
 
-# The instances' side
+# The endpoints' side
 
 
 class Declined(Exception):
@@ -584,28 +584,28 @@
 
 
 class MailCarrier(Carrier[MailClient]):
-    """Carries attempts to instances as mail transactions."""
+    """Carries attempts to endpoints as mail transactions."""
 
     def __init__(self, loop: Loop, exchange: Exchange, setup: config.Mail, most_idle: int) -> None:
         super().__init__(loop, exchange, most_idle)
         self.setup = setup
 
     def configure(self, setup: config.Mail) -> None:
-        """Follow another file: its instances are announced, and those it leaves out are gone."""
+        """Follow another file: its endpoints are announced, and those it leaves out are gone."""
         old, self.setup = self.setup, setup
         now = {instance_name(i) for i in setup.instances}
         self._announce([i for i in old.instances if instance_name(i) not in now], gone=True)
         self.announce()
 
     def announce(self) -> None:
-        """Tell the exchange the instances that the file lists."""
+        """Tell the exchange the endpoints that the file lists."""
         self._announce(self.setup.instances)
 
-    def _announce(self, instances: Iterable[config.MailInstance], gone: bool = False) -> None:
-        self.exchange.instances_known(
+    def _announce(self, endpoints: Iterable[config.MailInstance], gone: bool = False) -> None:
+        self.exchange.endpoints_known(
             api.ListKind.DELTA,
             [
-                Instance(
+                Endpoint(
                     instance_name(i),
                     i.dest,
                     i.address,
@@ -615,7 +615,7 @@
                     rate=i.rate,
                     carrier="mail",
                 )
-                for i in instances
+                for i in endpoints
             ],
         )
 
@@ -632,7 +632,7 @@
         try:
             if client is None:
                 connection = yield from self._connect(attempt)
-                lmtp = attempt.instance.name.startswith("lmtp:")
+                lmtp = attempt.endpoint.name.startswith("lmtp:")
                 client = MailClient(connection, lmtp, self.setup.hostname)
                 yield from client.greet(until)
             client.attempt = attempt
@@ -655,7 +655,7 @@
             if client is not None:
                 client.connection.close()
         except (Broken, Expired) as error:
-            log.debug("attempt broke", extra={"instance": attempt.instance.name, "why": str(error)})
+            log.debug("attempt broke", extra={"endpoint": attempt.endpoint.name, "why": str(error)})
             if client is not None and client.written:  # the dot was sent: it may have taken effect
                 outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
             elif isinstance(error, Expired):
@@ -703,5 +703,5 @@
     return lines + b"\r\n" + body  # it had no header fields at all
 
 
-def instance_name(instance: config.MailInstance) -> str:
-    return f"{instance.protocol}:{instance.dest}:{instance.address[0]}:{instance.address[1]}"
+def instance_name(endpoint: config.MailInstance) -> str:
+    return f"{endpoint.protocol}:{endpoint.dest}:{endpoint.address[0]}:{endpoint.address[1]}"
--- a/ashvale/net/operator.py
+++ b/ashvale/net/operator.py
@@ -168,12 +168,12 @@
             return 405
         name, what = found[1], found[2]
         if not self.listed(name):
-            log.info("no such endpoint", extra={"instance": name[:80], "call": what})
+            log.info("no such endpoint", extra={"endpoint": name[:80], "call": what})
             return 404
         try:
             self.bans.set(name, what == "maint")
         except OSError as error:
-            log.error("ban not written", extra={"instance": name, "why": str(error)})
+            log.error("ban not written", extra={"endpoint": name, "why": str(error)})
             return 503
-        log.info("told", extra={"call": what, "instance": name})
+        log.info("told", extra={"call": what, "endpoint": name})
         return 200
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -1,6 +1,6 @@
 """The platform's protocol: HTTP/1.1 on both sides, parsed by h11.
 
-It owns the server for service clients and the pool of connections to instances. It translates: commands and
+It owns the server for service clients and the pool of connections to endpoints. It translates: commands and
 attempts to and from HTTP. It must never decide where or when a message goes, never answer 202 before the
 exchange has taken a command, and never send a request a second time on its own.
 """
@@ -16,7 +16,7 @@
 import h11
 
 from ashvale import interface as api
-from ashvale.exchange import DELIVERED, REFUSED_MS, RETURNED, Attempt, Command, Exchange, Instance, Refusal
+from ashvale.exchange import DELIVERED, REFUSED_MS, RETURNED, Attempt, Command, Endpoint, Exchange, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.loop import (
@@ -334,18 +334,18 @@
     return h11.Response(status_code=status, headers=[*headers, *more])
 
 
-# The instances' side
+# The endpoints' side
 
 
 class Pool(Carrier[HttpClient]):
-    """Carries attempts to instances as calls."""
+    """Carries attempts to endpoints as calls."""
 
     def _converse(self, client: Optional[HttpClient], attempt: Attempt) -> Coroutine[Optional[HttpClient]]:
-        reply, instance = Reply(attempt=attempt), attempt.instance
+        reply, endpoint = Reply(attempt=attempt), attempt.endpoint
         outcome = Outcome.CONNECT_FAILED
         try:
             if client is None:
-                client = HttpClient((yield from self._connect(attempt)), instance.address)
+                client = HttpClient((yield from self._connect(attempt)), endpoint.address)
             self._begin(attempt)
             yield from self._ask(client, attempt, reply)
         except Stopped:
@@ -353,7 +353,7 @@
         except Expired:
             outcome = Outcome.TIMEOUT if reply.written else self._too_late(attempt)
         except Broken as error:
-            log.debug("attempt broke", extra={"instance": instance.name, "why": str(error)})
+            log.debug("attempt broke", extra={"endpoint": endpoint.name, "why": str(error)})
             outcome = Outcome.RESET if reply.written else Outcome.CONNECT_FAILED
         # An answer that is spoilt says nothing, but for a first line with 200 where it concerns one message.
         if reply.whole or (reply.status == 200 and len(attempt.parts) == 1):
@@ -409,20 +409,20 @@
             return {}
         return load_report((reply.headers.get(b"server-load") or body).decode("latin-1"), fields)
 
-    def probe(self, instance: Instance) -> None:
-        self.loop.spawn(self._probe(instance), "probe")
+    def probe(self, endpoint: Endpoint) -> None:
+        self.loop.spawn(self._probe(endpoint), "probe")
 
-    def _probe(self, instance: Instance) -> Coroutine[None]:
-        """Ask an instance how it is. To its partner that is a call like any other: it keeps to waits."""
+    def _probe(self, endpoint: Endpoint) -> Coroutine[None]:
+        """Ask an endpoint how it is. To its partner that is a call like any other: it keeps to waits."""
         began = self.loop.now()
-        call, reply = Attempt(instance, began, began + PROBE_MS), Reply()
+        call, reply = Attempt(endpoint, began, began + PROBE_MS), Reply()
         outcome, load = Outcome.CONNECT_FAILED, dict[str, float]()
         client: Optional[HttpClient] = None
         try:
-            if (client := self._reuse(instance.name)) is None:
+            if (client := self._reuse(endpoint.name)) is None:
                 limit = min(call.until, began + self.exchange.settings.connect_timeout_ms)
                 client = HttpClient(
-                    (yield from connect(self.loop, instance.address, limit)), instance.address
+                    (yield from connect(self.loop, endpoint.address, limit)), endpoint.address
                 )
             if not self.exchange.may_go(call):
                 outcome = Outcome.MOOT
@@ -435,7 +435,7 @@
             outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
         finally:
             if client is not None:
-                self._give_back(instance.name, client)
+                self._give_back(endpoint.name, client)
             self.exchange.probed(call, outcome, wait_ms(reply.headers), load)
 
 
--- a/ashvale/net/pool.py
+++ b/ashvale/net/pool.py
@@ -1,6 +1,6 @@
 """What every carrier of attempts shares: their tasks, and the connections kept for the next one.
 
-It owns the idle connections to instances and closes them in time. It must never decide which instance is
+It owns the idle connections to endpoints and closes them in time. It must never decide which endpoint is
 called, never have two attempts on one connection at once, and never let an attempt end unreported.
 """
 
@@ -11,11 +11,11 @@
 from collections import defaultdict
 from typing import Generic, Optional, Protocol, TypeVar
 
-from ashvale.exchange import Attempt, Exchange, Instance
+from ashvale.exchange import Attempt, Endpoint, Exchange
 from ashvale.interface import Outcome
 from ashvale.loop import Connection, Coroutine, Loop, Task, connect, sleep
 
-EARLY_MS = 750.0  # a connection is given up this long before its instance would close it
+EARLY_MS = 750.0  # a connection is given up this long before its endpoint would close it
 SWEEP_MS = 250.0
 log = logging.getLogger(__name__)
 
@@ -61,13 +61,13 @@
             self._report_all(attempt, Outcome.CANCELLED)
             task.cancel()
 
-    def close_idle(self, instance: str) -> None:
-        for client, _ in self._idle.pop(instance, []):
+    def close_idle(self, endpoint: str) -> None:
+        for client, _ in self._idle.pop(endpoint, []):
             self._drop(client)
 
-    def probe(self, instance: Instance) -> None:
-        """Ask an instance how it is, where its protocol has a way; nothing is known of it then."""
-        self.exchange.probed(Attempt(instance, self.loop.now(), self.loop.now()), Outcome.MOOT)
+    def probe(self, endpoint: Endpoint) -> None:
+        """Ask an endpoint how it is, where its protocol has a way; nothing is known of it then."""
+        self.exchange.probed(Attempt(endpoint, self.loop.now(), self.loop.now()), Outcome.MOOT)
 
     def halt(self) -> None:
         """End every attempt and connection; nothing is reported any more."""
@@ -89,7 +89,7 @@
                     del self._idle[name]
 
     def _run(self, attempt: Attempt) -> Coroutine[None]:
-        name = attempt.instance.name
+        name = attempt.endpoint.name
         held: Optional[C] = None
         client: Optional[C] = None
         try:
@@ -119,7 +119,7 @@
     def _too_late(self, attempt: Attempt) -> Outcome:
         """How an attempt ended whose time ran out before its last byte was handed over: it never ran.
 
-        Where its windows closed first that says nothing of the instance, which is not held to be out.
+        Where its windows closed first that says nothing of the endpoint, which is not held to be out.
         """
         return Outcome.CONNECT_FAILED if self.exchange.may_write(attempt) else Outcome.MOOT
 
@@ -134,7 +134,7 @@
             if by < limit
         ]
         try:
-            connection = yield from connect(self.loop, attempt.instance.address, limit)
+            connection = yield from connect(self.loop, attempt.endpoint.address, limit)
         finally:
             for end in ends:
                 end.cancel()
--- a/ashvale/trace/recorder.py
+++ b/ashvale/trace/recorder.py
@@ -398,7 +398,7 @@
             if live := self._live.get(entry.number):
                 live.life.advance(now, Kind.JOURNAL)
                 live.ref = live.life.begin_attempt(
-                    Attempt(number + 1, carried.instance.name, members=len(carried.parts), obeyed=live.obeyed)
+                    Attempt(number + 1, carried.endpoint.name, members=len(carried.parts), obeyed=live.obeyed)
                 )
                 live.phase, live.obeyed = "out", 0.0
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -18,7 +18,7 @@
 
 from ashvale import interface as api
 from ashvale.control import Controller
-from ashvale.exchange import Exchange, Instance
+from ashvale.exchange import Endpoint, Exchange
 from ashvale.fleet.members import Members, Rhythm, Status, View
 from ashvale.interface import Effect, Outcome
 from ashvale.net.discovery import decode_list
@@ -159,7 +159,7 @@
     wire = json.dumps({"seq": 1, "whole": True, "hosts": hosts}).encode()
     began = time.process_time()
     told = decode_list(json.loads(wire))
-    assert len(told.endpoints) == count and isinstance(told.endpoints[0], Instance)
+    assert len(told.endpoints) == count and isinstance(told.endpoints[0], Endpoint)
     return len(wire) / MEGABYTE, time.process_time() - began
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from ashvale.exchange import Instance
+from ashvale.exchange import Endpoint
 from ashvale.lab.stands import Call, answer, read_request
 from ashvale.lab.virtual import VirtualLoop
 from ashvale.loop import FOREVER, Connection, Coroutine, Listener, Signal, sleep
@@ -114,7 +114,7 @@
     def __post_init__(self) -> None:
         self.settings = SimpleNamespace(forwarders=self.couriers)
 
-    def instances_known(self, _how: Any, _instances: Iterable[Instance], version: int) -> None:
+    def endpoints_known(self, _how: Any, _instances: Iterable[Endpoint], version: int) -> None:
         self.in_force.setdefault(version, self.loop.now())
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -10,14 +10,14 @@
 import pytest
 
 from ashvale import interface as api
-from ashvale.exchange import Attempt, Command, Exchange, Instance, Refusal
+from ashvale.exchange import Attempt, Command, Endpoint, Exchange, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Full, Journal
 from ashvale.lab.stands import run
 from ashvale.loop import Loop, sleep
 from tests.samples import KEYED, SAFE
 
-HUB = Instance("h", "1", ("127.0.0.1", 1), "hub")
+HUB = Endpoint("h", "1", ("127.0.0.1", 1), "hub")
 
 
 class Notes:
@@ -43,7 +43,7 @@
 
     def cancel(self, attempt: Attempt) -> None: ...
 
-    def close_idle(self, instance: str) -> None: ...
+    def close_idle(self, endpoint: str) -> None: ...
 
     def halt(self) -> None: ...
 
@@ -71,7 +71,7 @@
 
 
 def test_what_leaves_in_one_turn_shares_calls_and_the_journal_knows_first(notes: Notes) -> None:
-    notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+    notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])
     for number in range(5):
         take(notes, str(number))
     rest(notes)
@@ -79,7 +79,7 @@
 
 
 def test_an_execution_is_reported_once(notes: Notes) -> None:
-    notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+    notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])
     entry = take(notes, "a")
     rest(notes)
     for outcome in (Outcome.OK, Outcome.RESET, Outcome.OK):
@@ -96,7 +96,7 @@
 def test_a_withdrawal_overtakes_the_turn_that_would_send_it(notes: Notes) -> None:
     entry = take(notes, "a")
     rest(notes)
-    notes.exchange.instances_known(api.ListKind.FULL, [HUB])  # its turn would send what waits
+    notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])  # its turn would send what waits
     notes.exchange.withdraw(entry)
     rest(notes)
     assert not notes.attempts and notes.exchange.idle
@@ -104,51 +104,51 @@
 
 def test_one_carriers_whole_list_says_nothing_of_anothers(notes: Notes) -> None:
     """Guards mail's destinations against discovery, whose whole list does not name them."""
-    notes.exchange.instances_known(
-        api.ListKind.DELTA, [Instance("m", "partner", ("127.0.0.1", 2), "mail", carrier="mail")]
+    notes.exchange.endpoints_known(
+        api.ListKind.DELTA, [Endpoint("m", "partner", ("127.0.0.1", 2), "mail", carrier="mail")]
     )
     for _ in range(3):
-        notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+        notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])
         rest(notes, 5.0)
     take(notes, "a", "partner")
     rest(notes)
-    assert [e.instance.name for e in notes.attempts] == ["m"]
+    assert [e.endpoint.name for e in notes.attempts] == ["m"]
 
 
 def test_instances_that_lists_leave_out_are_forgotten(notes: Notes) -> None:
     for number in range(20):
-        notes.exchange.instances_known(
-            api.ListKind.FULL, [Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub")]
+        notes.exchange.endpoints_known(
+            api.ListKind.FULL, [Endpoint(f"i{number}", "1", ("127.0.0.1", 1), "hub")]
         )
         rest(notes, 3.0)
-    assert len(notes.exchange.instances) <= 2
+    assert len(notes.exchange.endpoints) <= 2
 
 
 def test_two_whole_lists_in_one_turn_forget_nothing_that_is_still_named(notes: Notes) -> None:
-    """Guards a message against a send to an instance that only the Controller still knows."""
-    for instances in ([HUB], [], [], []):
-        notes.exchange.instances_known(api.ListKind.FULL, instances)
+    """Guards a message against a send to an endpoint that only the Controller still knows."""
+    for endpoints in ([HUB], [], [], []):
+        notes.exchange.endpoints_known(api.ListKind.FULL, endpoints)
     take(notes, "a")
     rest(notes)
-    notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+    notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])
     rest(notes)
     assert [e.parts[0].id for e in notes.attempts] == ["a"]
 
 
 def test_an_instance_that_is_told_to_be_gone_is_forgotten_with_its_connections(notes: Notes) -> None:
-    """Guards memory on long days, when new instances replace old ones all the time."""
+    """Guards memory on long days, when new endpoints replace old ones all the time."""
     closed = list[str]()
     notes.close_idle = closed.append  # type: ignore[method-assign]
     for number in range(20):
         told = [
-            Instance(f"i{number}", "1", ("127.0.0.1", 1), "hub"),
-            Instance(f"i{number - 1}", "1", ("127.0.0.1", 1), "hub", gone=True),
+            Endpoint(f"i{number}", "1", ("127.0.0.1", 1), "hub"),
+            Endpoint(f"i{number - 1}", "1", ("127.0.0.1", 1), "hub", gone=True),
         ]
-        notes.exchange.instances_known(api.ListKind.DELTA, told)
+        notes.exchange.endpoints_known(api.ListKind.DELTA, told)
         if number == 5:  # one that is back before the Controller has heard that it was gone
-            notes.exchange.instances_known(api.ListKind.DELTA, [replace(told[1], gone=False)])
+            notes.exchange.endpoints_known(api.ListKind.DELTA, [replace(told[1], gone=False)])
         rest(notes, 3.0)
-    assert notes.exchange.instances.keys() == {"i19", "i4"} and len(closed) == 19
+    assert notes.exchange.endpoints.keys() == {"i19", "i4"} and len(closed) == 19
 
 
 def test_a_fault_over_one_event_leaves_the_others_alone(
@@ -162,7 +162,7 @@
         return real(event, now)
 
     monkeypatch.setattr(notes.exchange.controller, "handle", handle)
-    notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+    notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])
     take(notes, "a")
     take(notes, "b")
     rest(notes)
@@ -176,7 +176,7 @@
         raise Full("no room")
 
     monkeypatch.setattr(notes.exchange.journal, "started", full)
-    notes.exchange.instances_known(api.ListKind.FULL, [HUB])
+    notes.exchange.endpoints_known(api.ListKind.FULL, [HUB])
     take(notes, "a")
     rest(notes)
     assert notes.started == [False] and not notes.attempts[0].begun
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -295,7 +295,7 @@
         other = replace(
             attempt,
             parts=list(attempt.parts),
-            attempts=list(attempt.numbers),
+            numbers=list(attempt.numbers),
             open=set(),
             by=list(attempt.by),
         )
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -207,7 +207,7 @@
         s.discovery.seq += 1
         reload(s.courier, s.told)
         s.discovery.changed.fire()
-        s.until(lambda: not s.courier.exchange.instances["s-1"].ready)
+        s.until(lambda: not s.courier.exchange.endpoints["s-1"].ready)
         calls = len(old.calls)
         for _ in range(12):
             assert s.hand_in()[1].startswith(b"HTTP/1.1 202 ")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ashvale.exchange import Attempt, Instance
+from ashvale.exchange import Attempt, Endpoint
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
 from ashvale.lab.stands import DROP, STALL
@@ -125,7 +125,7 @@
             for name, value in (line.split(b": ") for line in rest.split(b"\r\n") if line)
         ),
     )
-    attempt = Attempt(Instance("s-1", "1", ("127.0.0.1", 1)), 0.0, 1.0, reused=reused)
+    attempt = Attempt(Endpoint("s-1", "1", ("127.0.0.1", 1)), 0.0, 1.0, reused=reused)
     assert platform._crowded(attempt, reply, http_client.wait_ms(reply.headers)) is crowded
 
 
@@ -382,7 +382,7 @@
 
 @pytest.mark.parametrize("more", [answer(200), answer(500), b"noise", b"\r\n\r\n"])
 def test_what_comes_behind_an_answer_is_not_the_answer_to_the_next_call(more: bytes) -> None:
-    """Guards against a delivery believed in because an instance answered the call before it twice."""
+    """Guards against a delivery believed in because an endpoint answered the call before it twice."""
     with scene() as s:
         endpoint = s.endpoint(answer(200) + more, answer(429, X_Come_Back_Ms=100))
         s.start()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -102,7 +102,7 @@
 
         def watch() -> Coroutine[None]:
             while len(replies) < count:
-                out = [e.instance.dest for e in self.stage.courier.exchange._out.values()]
+                out = [e.endpoint.dest for e in self.stage.courier.exchange._out.values()]
                 for dest in set(out):
                     self.most[dest] = max(self.most.get(dest, 0), out.count(dest))
                 yield from sleep(self.loop, 1.0)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -16,7 +16,7 @@
 from ashvale import config, rehearsal
 from ashvale import interface as api
 from ashvale.courier import Courier
-from ashvale.exchange import Attempt, Command, Exchange, Instance
+from ashvale.exchange import Attempt, Command, Endpoint, Exchange
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Journal
 from ashvale.lab.mail import Client, Partner
@@ -465,9 +465,9 @@
         self.withdrawn: set[str] = set()
 
     def list(self, dests: int, ready: bool = True) -> None:
-        self.exchange.instances_known(
+        self.exchange.endpoints_known(
             api.ListKind.FULL,
-            [Instance(f"e{n}", str(n), ("127.0.0.1", 1), "hub", ready=ready) for n in range(dests)],
+            [Endpoint(f"e{n}", str(n), ("127.0.0.1", 1), "hub", ready=ready) for n in range(dests)],
         )
 
     def take(self, id: str, dest: int, cls: str = "safe", ms: float = 5000.0) -> None:
@@ -497,7 +497,7 @@
 
     def cancel(self, attempt: Attempt) -> None: ...
 
-    def close_idle(self, instance: str) -> None: ...
+    def close_idle(self, endpoint: str) -> None: ...
 
     def halt(self) -> None: ...
 
