Let a courier know 4,096 others at a cost that hardly grows with their number

Cause: gossip sorted all views for each message, due and tick looked at all of them, and more than 512 peers were refused. Views now wait in a heap by how often they were passed on, and who is suspect stands in a table of its own; what is told is the same (the lowest count first, then by name).

--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -218,7 +218,7 @@
         "step",
     },
 }
-VOTERS_MOST, PEERS_MOST = 7, 512
+VOTERS_MOST, PEERS_MOST = 7, 4096
 COURIERS_MOST = 5000
 
 
--- a/ashvale/fleet/members.py
+++ b/ashvale/fleet/members.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass
 from enum import IntEnum
 from random import Random
@@ -17,7 +18,7 @@
 
 GOSSIP_MOST = 12  # views in one message
 HELPERS = 2  # others who are asked to look where one does not answer
-PEERS_MOST = 512
+PEERS_MOST = 4096
 
 
 class Status(IntEnum):
@@ -82,6 +83,10 @@
         self.own = View(name, incarnation, 0, Status.JOINING)
         self.members = {peer: Member(View(peer, 0, 0, Status.OUT), now) for peer in peers[:PEERS_MOST]}
         self.changes: list[Change] = []
+        # Both serve a cost that does not grow with the fleet: whom to pass on next, by how often it was, with
+        # entries that are out of date left in; and who is suspect.
+        self._spread: list[tuple[int, str]] = []
+        self._suspects: dict[str, Member] = {}
         self._turn: list[str] = []
         self._open: dict[str, tuple[float, bool]] = {}  # asked: until when, and whether others were asked too
         self.next = now
@@ -120,8 +125,8 @@
                         now,
                         self.name,
                     )
-        for member in self.members.values():
-            if member.status is Status.SUSPECT and now - member.since >= self.rhythm.suspect:
+        for member in list(self._suspects.values()):
+            if now - member.since >= self.rhythm.suspect:
                 v = member.view
                 self._set(member, View(v.name, v.incarnation, v.beat, Status.OUT), now, self.name)
         if now >= self.next:  # one who is alone keeps its rhythm too
@@ -138,10 +143,7 @@
     @property
     def due(self) -> float:
         opens = min((until for until, _ in self._open.values()), default=1e18)
-        ends = min(
-            (m.since + self.rhythm.suspect for m in self.members.values() if m.status is Status.SUSPECT),
-            default=1e18,
-        )
+        ends = min((m.since + self.rhythm.suspect for m in self._suspects.values()), default=1e18)
         return min(self.next, opens, ends)
 
     def heard(self, view: View, now: float, directly: bool = True) -> None:
@@ -173,11 +175,24 @@
 
     def gossip(self) -> list[View]:
         """What to tell next: the own view, and those told least."""
-        spread = sorted(self.members.values(), key=lambda m: (m.told, m.view.name))
-        chosen = [m for m in spread if m.view.incarnation > 0][: GOSSIP_MOST - 1]
-        for member in chosen:
+        chosen: dict[str, Member] = {}
+        while self._spread and len(chosen) < GOSSIP_MOST - 1:
+            told, name = heapq.heappop(self._spread)
+            member = self.members[name]
+            if told == member.told:  # else its view has changed since, and another entry stands for it
+                chosen[name] = member
+        for member in chosen.values():
             member.told += 1
-        return [self.own, *(m.view for m in chosen)]
+            self._pass_on(member)
+        return [self.own, *(member.view for member in chosen.values())]
+
+    def _pass_on(self, member: Member) -> None:
+        """Let a view be passed on in its turn; one of whom nothing was ever heard is not."""
+        if member.view.incarnation > 0:
+            heapq.heappush(self._spread, (member.told, member.view.name))
+        if len(self._spread) > 2 * len(self.members) + GOSSIP_MOST:
+            current = {(m.told, m.view.name) for m in self.members.values() if m.view.incarnation > 0}
+            self._spread = sorted(current)
 
     def status(self, name: str) -> Optional[Status]:
         if name == self.name:
@@ -191,3 +206,8 @@
             self.changes.append(Change(view.name, before.name.lower(), Status(view.status).name.lower(), by))
         if view != member.view:
             member.view, member.told = view, 0
+            self._pass_on(member)
+        if member.status is Status.SUSPECT:
+            self._suspects[view.name] = member
+        else:
+            self._suspects.pop(view.name, None)
