Make room for new messages alone: a start no longer looks over all for each it finds

Cause: beyond max_open each message made the module look for one to give up among all held, though what a restart finds untried is kept. The test counts the looks; it fails on the code before.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -200,7 +200,7 @@
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
         self._expire(m, now, self.limits.line(m.id, now))
         self._thin(m.dest, now)
-        if self.held >= self.s.max_open:  # make room for the next message
+        if self.held >= self.s.max_open and not m.kept:  # make room for the next message
             self._give_up_least(self.messages.values(), now)
 
     def _weight(self, event: api.NewMessage, now: float) -> float:
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -22,7 +22,7 @@
 
 ENTRIES = (500, 1000, 2000, 4000, 8000)
 BODY = b"x" * 100
-JOURNAL_BYTES = 64_000_000
+JOURNAL_BYTES = 256_000_000
 DEADLINE_MS = 600_000.0
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ashvale import interface as api
+from ashvale.control import Controller
 from ashvale.interface import Outcome
 from tests.rulebook import Driver
 from tests.samples import CLASSES, KEYED, ORDERED, SAFE, UNSAFE, ZONED, line, listed, settings
@@ -338,3 +341,17 @@
     waiting = [n for n, owed in driver.owed.items() if not (owed.answered or owed.attempts)]
     assert driver.now == 0.0 and len(waiting) == 6 and len(refused) == 12  # six seconds serve six
     driver.close()
+
+
+def test_what_a_restart_finds_untried_gives_nothing_up_however_much_it_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards a start: room is made for new messages alone, and each look goes over all that is held."""
+    looks = list[int]()
+    monkeypatch.setattr(Controller, "_give_up_least", lambda *_told: looks.append(1))
+    driver = Driver(settings(max_open=5))
+    for number in range(1, 41):
+        driver.feed(api.NewMessage(number, CLASSES.index(SAFE), number % 7, 60_000.0, kept=True))
+    assert not looks and len(driver.controller.messages) == 40
+    driver.feed(api.NewMessage(41, CLASSES.index(SAFE), 1, 60_000.0))
+    assert looks
