--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -26,8 +26,9 @@
 import msgspec
 import xxhash
 
-from ashvale.fleet.agent import Agent, Effects, Envelope, Health, Setup
+from ashvale.fleet.agent import Agent, Effects, Setup
 from ashvale.fleet.members import Rhythm, Status
+from ashvale.fleet.messages import Envelope, Health
 from ashvale.fleet.permits import REASON_MOST, Budget
 from ashvale.fleet.record import Role, Timing
 from ashvale.fleet.releases import BACK, VERBS, Plan, faults
--- a/ashvale/lab/fleet.py
+++ b/ashvale/lab/fleet.py
@@ -16,8 +16,9 @@
 from random import Random
 from typing import Optional
 
-from ashvale.fleet.agent import Agent, Effects, Envelope, Kept, Setup
+from ashvale.fleet.agent import Agent, Effects, Kept, Setup
 from ashvale.fleet.members import Rhythm
+from ashvale.fleet.messages import Envelope
 from ashvale.fleet.permits import Budget
 from ashvale.fleet.record import Role, Saved, Timing
 from ashvale.fleet.releases import Plan
--- a/benchmarks/fleet_roles.py
+++ b/benchmarks/fleet_roles.py
@@ -17,7 +17,8 @@
 import msgspec
 from capacity import power
 
-from ashvale.fleet.agent import Agent, Envelope
+from ashvale.fleet.agent import Agent
+from ashvale.fleet.messages import Envelope
 from ashvale.fleet.record import Role
 from ashvale.lab.fleet import World
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,8 +13,9 @@
 
 from ashvale import config
 from ashvale.fleet import agent as agents
-from ashvale.fleet.agent import Agent, Envelope, Kept, Setup, Stale
+from ashvale.fleet.agent import Agent, Kept, Setup
 from ashvale.fleet.members import Members, Rhythm, Status, View
+from ashvale.fleet.messages import Envelope, Stale
 from ashvale.fleet.record import Append, Entry, Out, Record, Refused, Saved, Snapshot, Timing, Vote
 from ashvale.fleet.state import Acquire, Put, Release, State, Unknown, encode
 from ashvale.fleet.store import HARD, Spoilt, Store, frame
