Name things by what they do: shared_waits, background, stand_ins, siblings

beside.py, net/aside.py and lab/stands.py, Exchange.beside (a tuple of four, now Siblings), hush, _stands and _aside were words of the earlier style. tests/test_fleet.py takes messages from where they are now: two of its tests failed on the commit before, as fleet/agent.py no longer imported what it does not use.

--- a/ashvale/cli/lab.py
+++ b/ashvale/cli/lab.py
@@ -124,7 +124,7 @@
 
     from ashvale.lab.relay import SILENT
     from ashvale.lab.rig import Rig
-    from ashvale.lab.stands import STALL
+    from ashvale.lab.stand_ins import STALL
 
     began, events = time.monotonic(), list[dict[str, object]]()
 
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -14,14 +14,14 @@
 from typing import TYPE_CHECKING, Optional
 
 from ashvale import config
-from ashvale.beside import Waits
-from ashvale.exchange import Exchange
+from ashvale.exchange import Exchange, Siblings
 from ashvale.journal import Disk, Journal
 from ashvale.loop import Coroutine, Loop, Task, lasting
 from ashvale.net.discovery import Discovery
 from ashvale.net.mail import MailCarrier, MailFront
 from ashvale.net.notices import Notices
 from ashvale.net.platform import Pool, Server
+from ashvale.shared_waits import Waits
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -111,8 +111,8 @@
             def health(self) -> tuple[int, int, int]:
                 return courier.exchange.health
 
-            def endpoint(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
-                return courier.exchange.beside(name)
+            def endpoint(self, name: str) -> Optional[Siblings]:
+                return courier.exchange.siblings(name)
 
         self.fleet = Node(self.loop, told, state, Here())
         if self.operator is not None:
@@ -275,9 +275,9 @@
             return config.load(environ, anew=True).after(old)
 
         if old.sources or old.mail_sources or config.has_set(environ):
-            from ashvale.net.aside import aside
+            from ashvale.net.background import run_in_thread
 
-            aside(self.loop, read, self._loaded)
+            run_in_thread(self.loop, read, self._loaded)
             return
         try:
             told: config.Config | Exception = read()
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -30,7 +30,7 @@
 REFUSED_MS = 500.0  # when to come back after a refusal at the door
 UNHEARD = float("inf")  # a wait of which the Controller has yet to hear
 SERVED_MOST = 4096  # destinations kept in mind
-ASIDE_MS = 100.0  # how often to look whether this process is alone again; and left for an end's notice
+HELD_BACK_MS = 100.0  # how often to look whether this process is alone again; and left for an end's notice
 NAMED_FROM = 1 << 20  # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
 _NUMBERS = {outcome: number for number, outcome in enumerate(Outcome, 1)}
@@ -68,6 +68,16 @@
     carrier: str = "platform"
 
 
+@dataclass(frozen=True)
+class Siblings:
+    """An endpoint's destination and zone, and the endpoints of that destination, each with its zone."""
+
+    dest: str
+    zone: str
+    listed: dict[str, str]
+    ready: dict[str, str]
+
+
 @dataclass(frozen=True)
 class Command:
     """A message as a service client hands it in; `deadline` is on the loop's clock."""
@@ -200,7 +210,7 @@
         self._out: dict[int, Attempt] = {}  # by message
         self._telling: dict[str, int] = {}  # order keys of which an end is still to be heard, and how many
         self._behind: dict[str, list[Attempt]] = {}  # attempts that wait for that
-        self._aside: dict[int, Entry] = {}  # ordered messages of which the module hears once we are alone
+        self._held_back: dict[int, Entry] = {}  # ordered messages of which the module hears once we are alone
         self._events: list[api.Event] = []
         self._due = self.halted = False
         self.ends = self.given_up = 0  # ends that were decided in this life, and those that are no delivery
@@ -251,9 +261,9 @@
 
         Call once fronts and carriers are in place."""
         now = self.loop.now()
-        found = self.journal.entries.values() if entries is None else [*entries, *self._aside.values()]
+        found = self.journal.entries.values() if entries is None else [*entries, *self._held_back.values()]
         for entry in sorted(found, key=lambda entry: entry.taken):  # each key in the order of taking, by both
-            if self._aside.pop(entry.number, None) is not None:
+            if self._held_back.pop(entry.number, None) is not None:
                 self._post(self._new(entry))
                 continue
             if entry.front not in self.fronts:  # stays written down for a start with that front
@@ -426,10 +436,10 @@
         entry.sends = entry.attempts
         if entry.order and not self._alone:
             # Guards the order of a key in an upgrade: the other process may hold an earlier message of it.
-            if not self._aside:
-                self.loop.call_at(self.loop.now() + ASIDE_MS, self._look_aside)
-            self._aside[entry.number] = entry
-            self.loop.call_at(self.local(entry.deadline) - ASIDE_MS, lambda: self._end_aside(entry))
+            if not self._held_back:
+                self.loop.call_at(self.loop.now() + HELD_BACK_MS, self._look_for_other_process)
+            self._held_back[entry.number] = entry
+            self.loop.call_at(self.local(entry.deadline) - HELD_BACK_MS, lambda: self._end_held_back(entry))
             return
         self._post(self._new(entry))
 
@@ -438,18 +448,18 @@
         """True where no other process of this courier runs on its folder."""
         return not (self.journal.waiting or self.journal.succeeded)
 
-    def _look_aside(self) -> None:
+    def _look_for_other_process(self) -> None:
         """The other process may have ended without leaving anything to be taken over."""
-        if self.halted or not self._aside:
+        if self.halted or not self._held_back:
             return
         if self._alone:
             self.resume([])
         else:
-            self.loop.call_at(self.loop.now() + ASIDE_MS, self._look_aside)
+            self.loop.call_at(self.loop.now() + HELD_BACK_MS, self._look_for_other_process)
 
-    def _end_aside(self, entry: Entry) -> None:
+    def _end_held_back(self, entry: Entry) -> None:
         """The other process has outlasted a message, which never ran."""
-        if not self.halted and self._aside.pop(entry.number, None) is not None:
+        if not self.halted and self._held_back.pop(entry.number, None) is not None:
             self._decide(entry, RETURNED, REFUSED_MS)
 
     def _new(self, entry: Entry) -> api.NewMessage:
@@ -471,7 +481,7 @@
     def withdraw(self, entry: Entry) -> None:
         """The client never heard that its message was taken: it counts for nothing."""
         if self._owed.pop(entry.number, None):
-            self._aside.pop(entry.number, None)
+            self._held_back.pop(entry.number, None)
             self._released(entry)
             self._post(api.Withdrawn(entry.number))
             # Guards the turn against sending what is no longer held: this event overtakes the others.
@@ -558,15 +568,14 @@
         if again:
             self.endpoints_known(api.ListKind.DELTA, again)
 
-    def beside(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
-        """An endpoint's destination and zone, and all endpoints of that destination and the ready ones, each
-        with its zone; None for one that the list does not name."""
-        now = {i.name: i for i in self._told_now()}
+    def siblings(self, name: str) -> Optional[Siblings]:
+        """An endpoint among those of its destination; None for one that the list does not name."""
+        now = {endpoint.name: endpoint for endpoint in self._told_now()}
         if (found := now.get(name)) is None:
             return None
-        kin = {i.name: i.zone for i in now.values() if i.dest == found.dest}
-        ready = {n: zone for n, zone in kin.items() if now[n].ready and n not in self.banned}
-        return found.dest, found.zone, kin, ready
+        listed = {each.name: each.zone for each in now.values() if each.dest == found.dest}
+        ready = {n: zone for n, zone in listed.items() if now[n].ready and n not in self.banned}
+        return Siblings(found.dest, found.zone, listed, ready)
 
     @property
     def health(self) -> tuple[int, int, int]:
@@ -653,7 +662,7 @@
         """A probe has ended; a wait that its answer tells binds like any other."""
         if not self.halted:
             if wait_ms > 0:
-                self.hush(call, wait_ms)
+                self.hear_wait_in_head(call, wait_ms)
             took = self.loop.now() - call.sent
             self._post(api.Probed(call.endpoint.name.encode(), outcome, took, load or {}))
 
@@ -703,9 +712,9 @@
         """Tell whether anything may be said to the endpoint now: told waits, and what the list names."""
         told, until = self._silent.get(self._route(attempt.endpoint), (0.0, 0.0))
         waits = attempt.sent <= told and self.loop.now() < until
-        return not waits and self._stands(attempt.endpoint)
+        return not waits and self._still_listed(attempt.endpoint)
 
-    def _stands(self, endpoint: Endpoint) -> bool:
+    def _still_listed(self, endpoint: Endpoint) -> bool:
         """Tell whether the list still names an endpoint as ready, and under the address that is held here."""
         known = self.endpoints.get(endpoint.name)
         listed = known is not None and known.ready and not known.gone and known.name not in self._left
@@ -716,7 +725,7 @@
             and (known.name not in self.banned)
         )
 
-    def hush(self, attempt: Attempt, wait_ms: float) -> None:
+    def hear_wait_in_head(self, attempt: Attempt, wait_ms: float) -> None:
         """A wait that an answer tells whose end is still to come: it binds all the same, from now on."""
         route, until = self._route(attempt.endpoint), self.loop.now() + wait_ms
         self.hear_wait(route, until)
--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -47,11 +47,12 @@
 )
 from ashvale.fleet.store import Spoilt, Store
 from ashvale.loop import Broken, Connection, Coroutine, Expired, Listener, Loop, Signal, Task, Timer, lasting
-from ashvale.net.aside import aside
+from ashvale.net.background import run_in_thread
 from ashvale.net.http_client import Channel
 
 if TYPE_CHECKING:
     from ashvale.config import Fleet
+    from ashvale.exchange import Siblings
 
 VERSION = 1
 BODY_MOST = 1024 * 1024  # bytes of one message
@@ -140,7 +141,7 @@
         """Ends in this life, how many of them were given up, and what is owed."""
         return 0, 0, 0
 
-    def endpoint(self, name: str) -> Optional[tuple[str, str, dict[str, str], dict[str, str]]]:
+    def endpoint(self, name: str) -> Optional[Siblings]:
         """An endpoint's partner and building, and of that partner all listed and the ready ones with their
         buildings; None where it was never listed."""
         return None
@@ -303,7 +304,7 @@
                 self._carry_out(agent, fx)
                 self._pump()
 
-        aside(self.loop, lambda: store.write(data, whole), saved)
+        run_in_thread(self.loop, lambda: store.write(data, whole), saved)
 
     def _carry_out(self, agent: Agent, fx: Effects) -> None:
         # First the courier itself: what is said to others rests on it.
@@ -617,18 +618,17 @@
             return Declare(self.id(), order.budget, order.who, order.why)
         if (found := self.service.endpoint(order.endpoint)) is None:
             raise ValueError(f"'endpoint' is '{order.endpoint[:80]}', which was never listed")
-        partner, building, listed, ready = found
         return Maint(
             self.id(),
             order.endpoint,
-            partner,
+            found.dest,
             order.who,
             order.why,
-            building,
+            found.zone,
             order.ends_ms,
             order.despite,
-            listed,
-            ready,
+            found.listed,
+            found.ready,
         )
 
     def decide(self, command: Command, until: float) -> Coroutine[Result]:
--- a/ashvale/fleet/state.py
+++ b/ashvale/fleet/state.py
@@ -355,7 +355,7 @@
             )
             if m.despite and kept.rollout is not None and kept.rollout.status == releases.RUNNING:
                 why = f"{m.courier} went despite the budget: {m.despite}"
-                self._stands(releases.halted(kept.rollout, why))
+                self._put_release_in_force(releases.halted(kept.rollout, why))
             return Result(True, index)
         if m.wait and place is None:
             if len(kept.queue) >= rules.QUEUE_MOST:
@@ -417,11 +417,11 @@
             )
         if isinstance(after, str):
             return Result(False, found.number, after)
-        self._stands(after)
+        self._put_release_in_force(after)
         return Result(True, index)
 
-    def _stands(self, release: Rollout) -> None:
-        """The release stands so now.
+    def _put_release_in_force(self, release: Rollout) -> None:
+        """Put a release in force as it now is.
 
         Whoever has no work in it any more, or other work than that for which it went, is called back, once
         and for all: for more it needs another permit. Guards against one that goes out again by a permit
--- a/ashvale/lab/hunt.py
+++ b/ashvale/lab/hunt.py
@@ -15,7 +15,7 @@
 from ashvale.lab.judge import Broken
 from ashvale.lab.run import Message, Partner, Rehearsal, Scenario, Trouble, play
 from ashvale.lab.scenarios import CLASSES
-from ashvale.lab.stands import DROP, STALL, answer
+from ashvale.lab.stand_ins import DROP, STALL, answer
 
 ACTIONS: tuple[bytes | str, ...] = (
     DROP,
--- a/ashvale/lab/mail.py
+++ b/ashvale/lab/mail.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from ashvale.lab.stands import DROP, HERE, LONG_MS, STALL
+from ashvale.lab.stand_ins import DROP, HERE, LONG_MS, STALL
 from ashvale.loop import (
     FOREVER,
     Address,
--- a/ashvale/lab/relay.py
+++ b/ashvale/lab/relay.py
@@ -8,7 +8,7 @@
 
 from random import Random
 
-from ashvale.lab.stands import HERE
+from ashvale.lab.stand_ins import HERE
 from ashvale.loop import (
     FOREVER,
     Address,
--- a/ashvale/lab/rig.py
+++ b/ashvale/lab/rig.py
@@ -22,7 +22,7 @@
 
 from ashvale.lab.judge import Edges
 from ashvale.lab.relay import Relay
-from ashvale.lab.stands import HERE, LONG_MS, Discovery, Endpoint, request, run, settings
+from ashvale.lab.stand_ins import HERE, LONG_MS, Discovery, Endpoint, request, run, settings
 from ashvale.loop import Broken, Coroutine, Expired, Loop, Task, connect, sleep
 
 NAME = "west"
--- a/ashvale/lab/run.py
+++ b/ashvale/lab/run.py
@@ -20,7 +20,7 @@
 from ashvale.journal import Full
 from ashvale.lab.disk import Killed, MemoryDisk
 from ashvale.lab.judge import Broken, Edges, judge
-from ashvale.lab.stands import Discovery, Endpoint, hand_in, settings
+from ashvale.lab.stand_ins import Discovery, Endpoint, hand_in, settings
 from ashvale.lab.virtual import Process, VirtualLoop
 from ashvale.loop import Address
 
--- a/ashvale/lab/scenarios.py
+++ b/ashvale/lab/scenarios.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ashvale.lab.run import Message, Partner, Scenario
-from ashvale.lab.stands import DROP, STALL, answer
+from ashvale.lab.stand_ins import DROP, STALL, answer
 
 CLASSES = ("usage-record", "rate-update")
 _SIX = tuple(Message(20.0 * n, f"m{n}", CLASSES[n % 2], n % 2 + 1) for n in range(6))
--- a/ashvale/net/aside.py
+++ b/ashvale/net/background.py
@@ -1,4 +1,4 @@
-"""One long piece of work beside the loop: a thread for it, and the loop woken when it is done.
+"""One long piece of work in the background: a thread for it, and the loop woken when it is done.
 
 It owns the thread and the descriptor that wakes the loop. The work must never touch the loop, a socket or the
 journal: it takes what it needs as arguments, and its result is handed over between two turns. While it runs
@@ -22,7 +22,7 @@
 _before: list[tuple[float, bool]] = []  # how the interpreter was set, for each piece of work that runs
 
 
-def aside(loop: Loop, work: Callable[[], T], done: Callable[[T | Exception], None]) -> None:
+def run_in_thread(loop: Loop, work: Callable[[], T], done: Callable[[T | Exception], None]) -> None:
     """Call `work` in a thread, then `done` in the loop with its result, or with what it raised."""
     woken = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
     found: list[T | Exception] = []
@@ -49,4 +49,4 @@
     sys.setswitchinterval(SWITCH_S)
     gc.disable()
     loop.watch(woken, 1, ready)
-    threading.Thread(target=run, name="aside", daemon=True).start()
+    threading.Thread(target=run, name="background", daemon=True).start()
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -383,7 +383,7 @@
         A refusal is none before it is whole, as a spoilt answer proves nothing; but its wait binds at once.
         """
         if (wait := wait_ms(reply.headers)) > 0:
-            self.exchange.hush(attempt, wait)
+            self.exchange.hear_wait_in_head(attempt, wait)
         if reply.status != 200:
             return REST_MS
         if len(attempt.parts) > 1:
--- a/ashvale/rehearsal.py
+++ b/ashvale/rehearsal.py
@@ -19,7 +19,7 @@
 from ashvale import config
 from ashvale.courier import Courier
 from ashvale.lab.mail import Client, Partner, Script
-from ashvale.lab.stands import DROP, STALL, run
+from ashvale.lab.stand_ins import DROP, STALL, run
 from ashvale.log import set_up_log
 from ashvale.loop import (
     FOREVER,
--- a/ashvale/beside.py
+++ b/ashvale/shared_waits.py
@@ -30,14 +30,14 @@
     """The file of told waits. `heard` is told what another process wrote: a route, and until when (ms)."""
 
     def __init__(
-        self, loop: Loop, folder: Path, beside: bool, likely: bool, heard: Callable[[str, float], None]
+        self, loop: Loop, folder: Path, two_processes: bool, likely: bool, heard: Callable[[str, float], None]
     ) -> None:
-        """`beside`: another process runs on this folder already; `likely`: one may come at any time."""
+        """`two_processes`: another runs on this folder already; `likely`: one may come at any time."""
         self.loop, self.path, self.heard = loop, folder / "waits", heard
-        self.every = LOOK_MS if beside or likely else ALONE_MS
+        self.every = LOOK_MS if two_processes or likely else ALONE_MS
         self._at, self._file = 0, 0  # read up to there, of the file with that number
         self._known: dict[str, float] = {}  # what runs, as far as this process knows
-        if not beside:
+        if not two_processes:
             self._clear()
         self._look()
 
--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -14,7 +14,7 @@
 import tempfile
 from pathlib import Path
 
-from ashvale.lab.stands import HERE, Discovery, Endpoint, request, settings
+from ashvale.lab.stand_ins import HERE, Discovery, Endpoint, request, settings
 from ashvale.loop import FOREVER, Coroutine, Loop, connect, sleep
 
 MESSAGES = (500, 1000, 2000, 4000)
--- a/benchmarks/lab_speed.py
+++ b/benchmarks/lab_speed.py
@@ -16,7 +16,7 @@
 
 from ashvale.lab.run import Message, Partner, Scenario, play  # noqa: E402
 from ashvale.lab.scenarios import CLASSES  # noqa: E402
-from ashvale.lab.stands import DROP  # noqa: E402
+from ashvale.lab.stand_ins import DROP  # noqa: E402
 
 
 def main() -> None:
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -17,7 +17,7 @@
 from ashvale import config
 from ashvale.courier import Courier
 from ashvale.journal import Entry, Journal
-from ashvale.lab.stands import SETTINGS
+from ashvale.lab.stand_ins import SETTINGS
 from ashvale.loop import Loop
 
 ENTRIES = (500, 1000, 2000, 4000, 8000)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -11,7 +11,7 @@
 
 from ashvale import config
 from ashvale.courier import Courier
-from ashvale.lab.stands import (
+from ashvale.lab.stand_ins import (
     HERE,
     LONG_MS,
     Call,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 
 from ashvale import config
 from ashvale.interface import Effect
-from ashvale.lab.stands import SETTINGS
+from ashvale.lab.stand_ins import SETTINGS
 from ashvale.net.discovery import decode_host
 from ashvale.rehearsal import set_up
 
--- a/tests/test_config_layout.py
+++ b/tests/test_config_layout.py
@@ -18,7 +18,7 @@
 from ashvale.config.reader import Loaded
 from ashvale.courier import Courier
 from ashvale.lab.mail import Client, Partner
-from ashvale.lab.stands import run
+from ashvale.lab.stand_ins import run
 from ashvale.loop import Loop
 from ashvale.rehearsal import RATE, set_up
 from tests.stage import reload
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 from ashvale import interface as api
 from ashvale import loop as loops
 from ashvale.journal import Entry, Full, Journal
-from ashvale.lab.stands import STALL, run
+from ashvale.lab.stand_ins import STALL, run
 from ashvale.loop import Address, Broken, Connection, Coroutine, Expired, Listener, Loop, connect, sleep
 from ashvale.net import discovery, http_client, platform, pool
 from tests.rulebook import Driver
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ashvale.lab.stands import DROP, Call
+from ashvale.lab.stand_ins import DROP, Call
 from tests.stage import answer, batch_ids, request, scene
 
 CLASS = {"objective_ms": 900, "give_up_ms": 6000, "worth": 2.0, "late_worth": 0.2}
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,7 +14,7 @@
 from contextlib import contextmanager
 from os import environ
 
-from ashvale.lab.stands import HERE, run
+from ashvale.lab.stand_ins import HERE, run
 from ashvale.lab.virtual import VirtualLoop
 from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Listener, connect, sleep
 from tests.stage import Scene, request, scene
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,7 +15,7 @@
 import pytest
 
 from ashvale.exchange import Endpoint
-from ashvale.lab.stands import Call, answer, read_request
+from ashvale.lab.stand_ins import Call, answer, read_request
 from ashvale.lab.virtual import VirtualLoop
 from ashvale.loop import FOREVER, Connection, Coroutine, Listener, Signal, sleep
 from ashvale.net import discovery
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from ashvale.config import ConfigError
-from ashvale.lab.stands import STALL
+from ashvale.lab.stand_ins import STALL
 from ashvale.routing.build import Plan, plan
 from ashvale.routing.door import Door, Refusal
 from ashvale.routing.router import Facts
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -13,7 +13,7 @@
 from ashvale.exchange import Attempt, Command, Endpoint, Exchange, Refusal
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Full, Journal
-from ashvale.lab.stands import run
+from ashvale.lab.stand_ins import run
 from ashvale.loop import Loop, sleep
 from tests.samples import KEYED, SAFE
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,8 +15,20 @@
 from ashvale.fleet import agent as agents
 from ashvale.fleet.agent import Agent, Kept, Setup
 from ashvale.fleet.members import Members, Rhythm, Status, View
-from ashvale.fleet.messages import Envelope, Stale
-from ashvale.fleet.record import Append, Entry, Out, Record, Refused, Saved, Snapshot, Timing, Vote
+from ashvale.fleet.messages import Ack, Envelope, Ping, Stale
+from ashvale.fleet.record import (
+    Append,
+    Appended,
+    Entry,
+    Out,
+    Record,
+    Refused,
+    Saved,
+    Snapshot,
+    Timing,
+    Vote,
+    Voted,
+)
 from ashvale.fleet.state import Acquire, Put, Release, State, Unknown, encode
 from ashvale.fleet.store import HARD, Spoilt, Store, frame
 from ashvale.lab.fleet import World, play
@@ -150,8 +162,8 @@
     one = record()
     one.may_vote = True
     one.tick(5000.0)
-    one.handle("b", agents.Voted(0, 1, True, True), 5001.0)
-    one.handle("b", agents.Voted(1, 1, True, False), 5002.0)
+    one.handle("b", Voted(0, 1, True, True), 5001.0)
+    one.handle("b", Voted(1, 1, True, False), 5002.0)
     assert one.role.value == "leader" and one.propose(b"x", 5003.0)
     assert one.leads_until(5003.0) == 0.0  # nothing of its term is decided yet
     one.tick(6500.0)
@@ -164,11 +176,11 @@
     one = record()
     one.may_vote = True
     one.tick(5000.0)
-    one.handle("b", agents.Voted(0, 1, True, True), 5001.0)
-    one.handle("b", agents.Voted(1, 1, True, False), 5002.0)
+    one.handle("b", Voted(0, 1, True, True), 5001.0)
+    one.handle("b", Voted(1, 1, True, False), 5002.0)
     with pytest.raises(Refused, match="this term"):
         one.change(["a", "b"], 5003.0)
-    one.handle("b", agents.Appended(1, True, 1, 5002.0), 5004.0)
+    one.handle("b", Appended(1, True, 1, 5002.0), 5004.0)
     for wanted in (["a", "b", "c"], ["a", "d", "e"], []):
         with pytest.raises(Refused, match="one at a time"):
             one.change(wanted, 5005.0)
@@ -236,9 +248,9 @@
     """Guards against a mistake in the files: the second one is not heard, and keeps aside."""
     setup = Setup("f", "a", ("b", "c"), ("a", "b", "c"))
     one = Agent(setup, Saved(), Kept(), "life 1", Random(1), 0.0)
-    sends = one.receive(Envelope("b", 1, "life 2", False, (), agents.Ping()), 10.0).sends
-    assert any(isinstance(body, agents.Ack) for _, body in sends)
-    ((peer, body),) = one.receive(Envelope("b", 1, "life 3", False, (), agents.Ping()), 20.0).sends
+    sends = one.receive(Envelope("b", 1, "life 2", False, (), Ping()), 10.0).sends
+    assert any(isinstance(body, Ack) for _, body in sends)
+    ((peer, body),) = one.receive(Envelope("b", 1, "life 3", False, (), Ping()), 20.0).sends
     assert peer == "b" and isinstance(body, Stale)
     one.receive(Envelope("c", 1, "life 4", False, (), Stale(1, "other", 50.0)), 30.0)
     assert one.aside_until and not one.record.may_vote and not one.tick(40.0).sends
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -18,7 +18,7 @@
 
 from ashvale.lab.relay import RESET, SILENT
 from ashvale.lab.rig import Rig
-from ashvale.lab.stands import HERE
+from ashvale.lab.stand_ins import HERE
 
 
 @contextmanager
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,7 +17,7 @@
 from ashvale.lab.hunt import draw, hunt
 from ashvale.lab.run import Message, Partner, Rehearsal, Result, Scenario, Trouble, play
 from ashvale.lab.scenarios import SCENARIOS
-from ashvale.lab.stands import DROP, STALL, answer
+from ashvale.lab.stand_ins import DROP, STALL, answer
 from ashvale.lab.virtual import WINDOW, Process, Stalled, VirtualLoop
 from ashvale.loop import FOREVER, Broken, Connection, Coroutine, Expired, Listener, Loop, connect, sleep
 from ashvale.net.http_client import HttpClient, Reply
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ashvale.lab.stands import HERE, run
+from ashvale.lab.stand_ins import HERE, run
 from ashvale.loop import (
     AGAIN_MS,
     Broken,
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -8,7 +8,7 @@
 
 from ashvale.interface import Outcome
 from ashvale.lab.mail import Client, Partner
-from ashvale.lab.stands import DROP, STALL, run
+from ashvale.lab.stand_ins import DROP, STALL, run
 from ashvale.loop import Address, Broken, Connection, Coroutine, Loop, connect, sleep
 from ashvale.net import mail, pool
 from ashvale.rehearsal import CASES, MESSAGE, RATE, USAGE, Case, Stage, set_up, staged
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -21,7 +21,7 @@
 
 from ashvale import config, rehearsal
 from ashvale.lab.mail import Partner
-from ashvale.lab.stands import HERE, LONG_MS, run
+from ashvale.lab.stand_ins import HERE, LONG_MS, run
 from ashvale.log import KeyValue
 from ashvale.loop import Broken, Coroutine, connect
 from ashvale.rehearsal import set_up
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ashvale import config
-from ashvale.lab.stands import HERE, LONG_MS, run
+from ashvale.lab.stand_ins import HERE, LONG_MS, run
 from ashvale.loop import Coroutine, connect
 from tests.stage import Scene, scene
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ashvale.exchange import order_number
-from ashvale.lab.stands import DROP, STALL, Call
+from ashvale.lab.stand_ins import DROP, STALL, Call
 from ashvale.net import platform
 from tests.stage import Endpoint, Scene, answer, batch_ids, request, scene
 from tests.test_main import Program
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ashvale.lab.stands import HERE, Endpoint
+from ashvale.lab.stand_ins import HERE, Endpoint
 from tests.stage import Scene, reload, request, scene
 
 BODY = b'{"a": 1}\r\n\r\nPOST /rate-update HTTP/1.1\r\n\r\n'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 from ashvale.exchange import Attempt, Endpoint
 from ashvale.interface import Outcome
 from ashvale.journal import Entry
-from ashvale.lab.stands import DROP, STALL
+from ashvale.lab.stand_ins import DROP, STALL
 from ashvale.loop import Address, Broken, Connection, Coroutine, Expired, Loop, connect, sleep
 from ashvale.net import discovery, http_client, platform, pool
 from tests.stage import answer, batch_ids, request, scene
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ashvale.lab.mail import Client, Partner
-from ashvale.lab.stands import DROP, run
+from ashvale.lab.stand_ins import DROP, run
 from ashvale.loop import Coroutine, Loop, sleep
 from ashvale.rehearsal import Stage
 from ashvale.routing.health import FAILURES, TRIAL_MS, Health
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -15,7 +15,7 @@
 import pytest
 
 from ashvale.journal import Entry, Full, Journal
-from ashvale.lab.stands import DROP, Endpoint
+from ashvale.lab.stand_ins import DROP, Endpoint
 from tests.stage import Scene, request, scene
 from tests.test_main import Program, ask
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -20,7 +20,7 @@
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Journal
 from ashvale.lab.mail import Client, Partner
-from ashvale.lab.stands import DROP, STALL, run
+from ashvale.lab.stand_ins import DROP, STALL, run
 from ashvale.loop import Loop
 from ashvale.net import mail
 from ashvale.trace import codec, report
