--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -18,7 +18,7 @@
 
 from ashvale import interface as api
 from ashvale.control import Controller
-from ashvale.exchange import Endpoint, Exchange
+from ashvale.exchange import Endpoint
 from ashvale.fleet.members import Members, Rhythm, Status, View
 from ashvale.interface import Effect, Outcome
 from ashvale.net.discovery import decode_list
@@ -90,7 +90,7 @@
 def down(count: int) -> tuple[float, ...]:
     """Share of a core for trials at so many partners that are down, each with one message that waits."""
     controller = known(count, slots=10 * count, max_open=10 * count)
-    now, began, cpu = 10.0, 0.0, 0.0
+    now = 10.0
     wakes: list[float] = []
     sends: list[api.Send] = []
 
@@ -106,13 +106,13 @@
     attempts: dict[int, int] = {}
     began = time.process_time()
     while now < 20_000.0:
-        for send in sends[:]:
+        batch, sends[:] = list(sends), []  # what is sent meanwhile fails in the next step
+        for send in batch:
             attempt = attempts[send.message] = attempts.get(send.message, -1) + 1
             failed = Outcome.CONNECT_FAILED
             feed(api.Settled(send.message, attempt, send.target, failed, 1.0, False))
             if attempt == controller.s.max_attempts - 1:  # it is given up; another comes for that partner
                 feed(api.NewMessage(send.message + count, 0, send.message % count, now + 60_000.0))
-        sends.clear()
         now += 50.0
         if wakes and min(wakes) <= now:
             wakes.clear()
@@ -197,7 +197,6 @@
     names = sys.argv[1:] or list(SLOPES)
     if unknown := [name for name in names if name not in SLOPES]:
         sys.exit(f"unknown: {', '.join(unknown)}; known: {', '.join(SLOPES)}")
-    assert Exchange  # what drives the module; its own table of endpoints comes on top, see the page
     context = multiprocessing.get_context("spawn")
     for name in names:
         slope = SLOPES[name]
--- a/tests/test_cold_partners.py
+++ b/tests/test_cold_partners.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ashvale.lab.partner import SharedPartner, cold_load, time_to_share
+from ashvale.lab.partner import Arrival, SharedPartner, cold_load, time_to_share
 
 OUTAGE_MS = 10_000.0, 20_000.0
 SEEDS = (1, 2, 3)
@@ -42,8 +42,6 @@
 
 def test_the_judge_tells_who_pushed_a_partner_over() -> None:
     """A fall counts only where over two thirds of the calls came from couriers that had seen the outage."""
-    from ashvale.lab.partner import Arrival
-
     partner = SharedPartner(3, 6, 0.8, 1)
     partner.outage = OUTAGE_MS
     for saw, fell in ((True, True), (False, False)):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -36,7 +36,6 @@
         self.changed = Signal()
         self.behave: Callable[[Connection], Coroutine[bool]] = served
         self.asked: list[float] = []
-        self.turned_away: dict[str, float] = {}
         self.listener = Listener(loop, address, self._serve, 100_000, "agent")
 
     def change(self) -> None:
@@ -189,7 +188,7 @@
         loop = VirtualLoop(lambda _source, _target: DELAY_MS)
         agent, other = Agent(loop), Agent(loop, OTHER_AGENT)
         (courier,), (follow,) = fleet(loop, 1, seed)
-        courier.couriers = courier.settings.forwarders = 200  # its pauses are those of a large fleet
+        courier.settings.forwarders = 200  # its pauses are those of a large fleet
         run_for(loop, 1000.0)
         agent.behave = STATES.get(state, served)
         if state == "away":
