Log failed system calls by kind and count, and why a request was cut off, refused or withdrawn

Change: a count of failed system calls by call and error, each kind logged at most once a second and all of them when the process ends; 'cannot start' names the kind of error; 'request cut off', 'answer not told' and 'withdrawn' at info, 'taken' and 'refused' with their ids at debug. Accept errors go through the count. Measured: tests of loop, main, platform and exchange pass.

--- a/ashvale/__main__.py
+++ b/ashvale/__main__.py
@@ -14,7 +14,7 @@
 from ashvale import config
 from ashvale.courier import Courier
 from ashvale.journal import Full
-from ashvale.log import set_up_log
+from ashvale.log import failed_calls, set_up_log
 from ashvale.loop import Loop
 
 log = logging.getLogger("ashvale")
@@ -44,7 +44,7 @@
         courier = Courier(told, loop)
         courier.log_as = log_as
     except (config.ConfigError, Full, OSError) as error:
-        log.error("cannot start", extra={"why": str(error)})
+        log.error("cannot start", extra={"kind": type(error).__name__, "why": str(error)})
         return 2
 
     def signalled(_mask: int) -> None:
@@ -59,6 +59,8 @@
     loop.run()
     if courier.tracer is not None:
         courier.tracer.close()
+    if totals := failed_calls.totals():
+        log.warning("system calls failed", extra={"totals": totals})
     log.info("ended", extra={"owed": len(courier.exchange.journal.entries)})
     return 0
 
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -336,11 +336,13 @@
         if self.tracer is not None:
             self.tracer.taken(entry, command, began)
         self._ids[entry.front, entry.id] = entry
+        log.debug("taken", extra={"id": entry.id, "number": entry.number, "dest": entry.dest})
         self._hold(entry)
         return entry
 
     def refuse(self, command: Command, why: str, after_ms: float = REFUSED_MS) -> Refusal:
         """Refuse at the door what could not be taken on."""
+        log.debug("refused", extra={"id": command.id, "why": why, "after": after_ms})
         if self.tracer is not None:
             self.tracer.refused(command, why)
         return Refusal(after_ms, why)
@@ -483,6 +485,7 @@
         if self._owed.pop(entry.number, None):
             self._held_back.pop(entry.number, None)
             self._released(entry)
+            log.info("withdrawn", extra={"id": entry.id, "number": entry.number})
             self._post(api.Withdrawn(entry.number))
             # Guards the turn against sending what is no longer held: this event overtakes the others.
             self._events.insert(0, self._events.pop())
--- a/ashvale/log.py
+++ b/ashvale/log.py
@@ -1,14 +1,19 @@
 """How log lines look: key=value pairs, or one JSON object a line.
 
-It owns the form of a line. It must never decide what is logged.
+It owns the form of a line, and the count of failed system calls. It must never decide what else is logged.
 """
 
 from __future__ import annotations
 
+import errno
 import logging
 import sys
+import time
+from collections import Counter
 from typing import Any
 
+LOG_AGAIN_S = 1.0  # one kind of failed system call is logged at most so often
+log = logging.getLogger(__name__)
 _PLAIN = {*logging.LogRecord("", 0, "", 0, "", (), None).__dict__, "message", "asctime", "taskName"}
 
 
@@ -52,6 +57,32 @@
     )
 
 
+class FailedCalls:
+    """Counts the system calls that failed, by call and error, and logs each kind at most once in a while."""
+
+    def __init__(self) -> None:
+        self._counts = Counter[str]()
+        self._logged_at: dict[str, float] = {}  # seconds on the monotonic clock
+
+    def note(self, call: str, error: OSError) -> None:
+        """Count a failure of the named call."""
+        kind = f"{call}:{errno.errorcode.get(error.errno or 0, 'unknown')}"
+        self._counts[kind] += 1
+        now = time.monotonic()
+        if now - self._logged_at.get(kind, -LOG_AGAIN_S) >= LOG_AGAIN_S:
+            self._logged_at[kind] = now
+            log.warning(
+                "system call failed", extra={"call": call, "error": str(error), "count": self._counts[kind]}
+            )
+
+    def totals(self) -> str:
+        """Each kind with its count, for one field of a log line; empty where nothing failed."""
+        return ",".join(f"{kind}={count}" for kind, count in sorted(self._counts.items()))
+
+
+failed_calls = FailedCalls()  # of this process
+
+
 def set_up_log(level: str, form: str = "logfmt") -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(_json_lines() if form == "json" else KeyValue())
--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -20,6 +20,8 @@
 from collections.abc import Callable, Generator
 from typing import Any, Optional, TypeVar
 
+from ashvale.log import failed_calls
+
 T = TypeVar("T")
 Park = tuple["Signal", float]
 Coroutine = Generator[Park, bool, T]
@@ -575,7 +577,7 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:  # guards against a spin when descriptors run out
-                log.warning("accept failed", extra={"front": self.name, "error": str(error)})
+                failed_calls.note("accept", error)
                 self._pause()
                 self.loop.call_at(self.loop.now() + 50.0, self._resume)
                 return
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -183,7 +183,8 @@
                 log.info("malformed", extra={"status": status, "why": refused.why})
             try:
                 yield from self._reply(connection, http, status, headers)
-            except (Broken, Expired):
+            except (Broken, Expired) as error:
+                log.info("answer not told", extra={"status": status, "why": str(error)})
                 if taken is not None:
                     self.exchange.withdraw(taken)
                 raise
@@ -215,6 +216,10 @@
                     self.listener.rest(connection, used)
                 try:
                     data = yield from connection.receive(min(until, self._last))
+                except Broken as error:
+                    if not idle:
+                        log.info("request cut off", extra={"why": str(error)})
+                    raise
                 except Expired:
                     if idle:
                         raise
