--- a/tests/stage.py
+++ b/tests/stage.py
@@ -52,6 +52,7 @@
         self.numbers = 0
         self.environ: dict[str, str] = {}
         self.sockets = 1024
+        self.at_end = list[Callable[[], object]]()  # what is called when the scene ends
 
     def endpoint(self, *script: bytes | str, block: int = 1, kind: str = "direct") -> Endpoint:
         endpoint = Endpoint(self.loop, *script)
@@ -148,6 +149,8 @@
         try:
             yield made
         finally:
+            for call in made.at_end:
+                call()
             if hasattr(made, "courier"):
                 made.courier.halt()
             for listener in [made.discovery.listener, *(e.listener for e in made.endpoints)]:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -34,16 +34,27 @@
 
     def __init__(self, s: Scene, **environ: str) -> None:
         file = s.folder / "config.json"
-        file.write_text(json.dumps({"settings": s.settings, "known": s.discovery.whole()}))
+        told = {"settings": s.settings, "limits": {"disk_mb": s.disk_mb}, "known": s.discovery.whole()}
+        file.write_text(json.dumps(told))
         self.scene, self.log, self.ports = s, "", dict[str, int]()
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "ashvale"], stderr=subprocess.PIPE, env={**os.environ, **s.told, **environ}
-        )
-        assert self.process.stderr is not None
+        self.process = self._start(s, environ)
+        s.at_end.append(self._close)
         self.read_until("serving")
         for front, port in re.findall(r"listen_(\w+)\W+[\d.]+:(\d+)", self.log):
             self.ports[front] = int(port)
 
+    def _start(self, s: Scene, environ: dict[str, str]) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            [sys.executable, "-m", "ashvale"], stderr=subprocess.PIPE, env={**os.environ, **s.told, **environ}
+        )
+
+    def _close(self) -> None:
+        """Leave no process behind, however the test ended."""
+        self.process.kill()
+        self.process.wait()
+        assert self.process.stderr is not None
+        self.process.stderr.close()
+
     def read_until(self, event: str) -> None:
         assert self.process.stderr is not None
         line = ""
