Go on where epoll refuses a descriptor or a wait for events, and never raise from cleaning up

Callers saw requests without an answer after one epoll_ctl that failed, some courier accepted nobody any more, and one ended with a traceback where epoll_wait failed. Cause: Loop.watch and unwatch raised, after callers had noted the new state: a listener counted as accepting, a connection's mask as set, a connection as closed with its place, its descriptor and its call kept. Class: a failure in registering or cleaning up that leaves state half changed. Change: watch and unwatch never raise; a refused registration is made again after 5 ms, a failed removal with the next event; a wait that fails is made again after 5 ms. Why it works: what is wanted is kept in the loop until the kernel has it.

--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -35,6 +35,8 @@
 LEAST_FRESH_MS = 20.0  # an unused one as soon as this where no room is left
 CROWDED = 0.75  # share of the connections allowed from which resting ones go
 AGAIN_MS = 50.0  # pause before a task that failed begins again
+REGISTER_AGAIN_MS = 5.0  # pause before a descriptor that epoll refused is registered again
+POLL_AGAIN_S = 0.005  # pause after a wait for events that failed
 FULL_MS = 25.0  # pause before another look for room where none rests long enough
 LINGER_MS = 300.0  # the other side of a connection that is finished has so long to end it
 log = logging.getLogger(__name__)
@@ -133,6 +135,7 @@
         self.ready: deque[tuple[Task, bool]] = deque()
         self._epoll = select.epoll()
         self._handlers: dict[int, Callable[[int], None]] = {}
+        self._unregistered: dict[int, int] = {}  # descriptors that epoll refused, with the events wanted
         self._timers: list[tuple[float, int, Timer]] = []
         self._dead = 0  # cancelled ones among them
         self._numbers = itertools.count()
@@ -168,15 +171,48 @@
             self._dead = 0
 
     def watch(self, fd: int, mask: int, handler: Callable[[int], None]) -> None:
-        if fd in self._handlers:
-            self._epoll.modify(fd, mask)
-        else:
-            self._epoll.register(fd, mask)
+        """Call `handler` with the events of `mask` that come; another one for `fd` takes its place.
+
+        It never raises: where the kernel has no memory for it, it is asked again shortly after.
+        """
+        known = fd in self._handlers
         self._handlers[fd] = handler
+        self._unregistered.pop(fd, None)
+        self._register(fd, mask, known)
+
+    def _register(self, fd: int, mask: int, known: bool) -> None:
+        try:
+            if not known:
+                self._epoll.register(fd, mask)
+                return
+            try:
+                self._epoll.modify(fd, mask)
+            except FileNotFoundError:  # it was refused before
+                self._epoll.register(fd, mask)
+        except FileExistsError:  # it could not be unregistered before
+            self._register(fd, mask, True)
+        except OSError as error:
+            failed_calls.note("epoll_ctl", error)
+            if not self._unregistered:
+                self.call_at(self.now() + REGISTER_AGAIN_MS, self._register_again)
+            self._unregistered[fd] = mask
+
+    def _register_again(self) -> None:
+        refused, self._unregistered = self._unregistered, {}
+        for fd, mask in refused.items():
+            self._register(fd, mask, True)
 
     def unwatch(self, fd: int) -> None:
         if self._handlers.pop(fd, None):
+            self._unregistered.pop(fd, None)
+            self._unregister(fd)
+
+    def _unregister(self, fd: int) -> None:
+        try:
             self._epoll.unregister(fd)
+        except OSError as error:
+            if error.errno not in (errno.ENOENT, errno.EBADF):  # those: it is not registered
+                failed_calls.note("epoll_ctl", error)  # asked again with its next event
 
     def stop(self) -> None:
         self._running = False
@@ -191,11 +227,22 @@
         wait = 0.0 if self.ready else most_wait
         if self._timers and wait:
             wait = min(wait, max(0.0, self._timers[0][0] - self.now()))
-        for fd, mask in self._epoll.poll(wait / 1000.0, 256):
+        for fd, mask in self._poll(wait):
             if handler := self._handlers.get(fd):
                 self._guard(lambda handler=handler, mask=mask: handler(mask))  # type: ignore[misc]
+            else:
+                self._unregister(fd)
         self._run_due()
 
+    def _poll(self, wait_ms: float) -> list[tuple[int, int]]:
+        """The events that have come within `wait_ms`; none where the system cannot tell just now."""
+        try:
+            return self._epoll.poll(wait_ms / 1000.0, 256)
+        except OSError as error:
+            failed_calls.note("epoll_wait", error)
+            time.sleep(POLL_AGAIN_S)  # guards the machine against a loop that does nothing else
+            return []
+
     def _run_due(self) -> None:
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
