Keep a connection whose socket the system had no memory for, and close sockets without raising

Callers saw a request cut off with no answer where one recv or send failed with ENOMEM or ENOBUFS, where TCP_NODELAY could not be set on a connection just accepted, and where close failed: on_close was not called, so its place was lost. Cause: every error of a socket call but EAGAIN was taken for the connection's end, and close for a call that may fail. Change: for want of memory the call is made again after 5 ms; a failed option is counted; closing never raises, as the descriptor is free whatever close(2) returns; an error of accept(2) that concerns one connection does not stop accepting; a listener that cannot be set up gives its socket back. Why it works: what such an error says is now taken by its manual page, as of this machine or of the connection.

--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -38,7 +38,34 @@
 REGISTER_AGAIN_MS = 5.0  # pause before a descriptor that epoll refused is registered again
 POLL_AGAIN_S = 0.005  # pause after a wait for events that failed
 FULL_MS = 25.0  # pause before another look for room where none rests long enough
+ACCEPT_AGAIN_MS = 50.0  # pause before connections are accepted again where none could be
+MEMORY_AGAIN_MS = 5.0  # pause before a socket is used again for which the system had no memory
 LINGER_MS = 300.0  # the other side of a connection that is finished has so long to end it
+# Errors of recv(2) and send(2) that say nothing of the connection, by their manual pages.
+NO_MEMORY = (errno.ENOMEM, errno.ENOBUFS)
+# Errors of connect(2) that this machine makes before anything is sent to the other side.
+OWN_MACHINE = (
+    errno.EAGAIN,
+    errno.EADDRINUSE,
+    errno.EADDRNOTAVAIL,
+    errno.EINTR,
+    errno.EMFILE,
+    errno.ENFILE,
+    *NO_MEMORY,
+)
+# Errors of accept(2) that concern one connection alone: its manual page has them taken like EAGAIN.
+ONE_CONNECTION = (
+    errno.ECONNABORTED,
+    errno.EPERM,
+    errno.EPROTO,
+    errno.ENOPROTOOPT,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENONET,
+    errno.EOPNOTSUPP,
+)
 log = logging.getLogger(__name__)
 
 
@@ -203,6 +230,7 @@
             self._register(fd, mask, True)
 
     def unwatch(self, fd: int) -> None:
+        """Call no handler for `fd` any more. It never raises, so that whoever cleans up goes on."""
         if self._handlers.pop(fd, None):
             self._unregistered.pop(fd, None)
             self._unregister(fd)
@@ -279,6 +307,22 @@
         yield from sleep(loop, AGAIN_MS)
 
 
+def close(sock: socket.socket) -> None:
+    """Close a socket. Its descriptor is free whatever close(2) returns, so nothing is raised."""
+    try:
+        sock.close()
+    except OSError as error:
+        failed_calls.note("close", error)
+
+
+def send_at_once(sock: socket.socket) -> None:
+    """Have small writes leave without a delay; a socket on which that cannot be set serves all the same."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError as error:
+        failed_calls.note("setsockopt", error)
+
+
 class Ring:
     """A byte queue in one buffer that wraps round; it grows by doubling up to its limit."""
 
@@ -378,12 +422,14 @@
         self.closed = False
         self.on_close: Callable[[], None] = _nothing
         self._lingers: Optional[Timer] = None
+        self._no_memory = False  # the system had none for the last call; it is made again after a pause
         self._mask = 0
         self._interest()
 
     def _interest(self) -> None:
         mask = 0 if self.ended or not self.inbound.free else select.EPOLLIN
         mask |= select.EPOLLOUT if len(self.outbound) else 0
+        mask = 0 if self._no_memory else mask
         if not self.closed and (mask != self._mask or not mask):
             self._mask = mask
             if self.fault is None:
@@ -412,7 +458,21 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
-            self._fail(error)
+            self._failed("recv", error)
+
+    def _failed(self, call: str, error: OSError) -> None:
+        """The connection is broken, unless it was memory that the system lacked just now."""
+        if error.errno not in NO_MEMORY:
+            return self._fail(error)
+        failed_calls.note(call, error)
+        if not self._no_memory:
+            self._no_memory = True
+            self.loop.call_at(self.loop.now() + MEMORY_AGAIN_MS, self._go_on)
+
+    def _go_on(self) -> None:
+        self._no_memory = False
+        if not self.closed and self.fault is None:
+            self._event(select.EPOLLIN | select.EPOLLOUT)
 
     def quiet(self) -> bool:
         """True when nothing has come in, looked at just now: guards what has come and is not yet told."""
@@ -421,7 +481,7 @@
             if len(self.inbound) or self.ended:
                 self._interest()
                 self.changed.fire()
-        return not len(self.inbound)
+        return not (len(self.inbound) or self._no_memory)
 
     def flush(self) -> None:
         try:
@@ -430,9 +490,9 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
-            if not self.ended:  # guards an answer that came before the reset which a write now finds
-                self._receive()
-            self._fail(error)
+            if not (self.ended or error.errno in NO_MEMORY):
+                self._receive()  # guards an answer that came before the reset which a write now finds
+            self._failed("send", error)
 
     def _fail(self, error: OSError) -> None:
         self.fault, self.ended = error, True
@@ -523,7 +583,7 @@
             if self._lingers is not None:
                 self._lingers.cancel()
             self.loop.unwatch(self.sock.fileno())
-            self.sock.close()
+            close(self.sock)
             on_close, self.on_close = self.on_close, _nothing  # which refers to this connection
             on_close()
             self.changed.fire()
@@ -538,7 +598,7 @@
     opened = False
     try:
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        send_at_once(sock)
         code = sock.connect_ex(address)
         if code == errno.EINPROGRESS:
             signal, events = Signal(), list[int]()
@@ -564,7 +624,7 @@
     finally:
         if not opened:
             loop.unwatch(sock.fileno())
-            sock.close()
+            close(sock)
 
 
 class Listener:
@@ -591,16 +651,25 @@
         self.spare_ms = FRESH_MS, SPARE_MS
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = loop.socket(family)
+        try:
+            self.address = self._bind(address, reuse_port)
+        except OSError:
+            close(self.sock)
+            raise
+        self.closed = False
+        self._accepting = False
+        self._resume()
+
+    def _bind(self, address: Address, reuse_port: bool) -> Address:
+        """Listen at an address; return it with the port that was given out."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if reuse_port:  # guards an upgrade: the new process listens beside the old one
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.sock.setblocking(False)
         self.sock.bind(address)
         self.sock.listen(1024)
-        self.address: Address = self.sock.getsockname()[:2]
-        self.closed = False
-        self._accepting = False
-        self._resume()
+        bound: Address = self.sock.getsockname()[:2]
+        return bound
 
     def _resume(self) -> None:
         if not (self._accepting or self.closed):
@@ -621,15 +690,17 @@
                 return
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except (BlockingIOError, InterruptedError):
                 return
-            except OSError as error:  # guards against a spin when descriptors run out
+            except OSError as error:
                 failed_calls.note("accept", error)
-                self._pause()
-                self.loop.call_at(self.loop.now() + 50.0, self._resume)
+                if error.errno in ONE_CONNECTION:
+                    continue
+                self._pause()  # guards against a spin when descriptors run out
+                self.loop.call_at(self.loop.now() + ACCEPT_AGAIN_MS, self._resume)
                 return
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            send_at_once(sock)
             connection = Connection(self.loop, sock)
             connection.on_close = lambda connection=connection: self._gone(connection)  # type: ignore[misc]
             self.open[connection] = None
@@ -700,4 +771,4 @@
                 self._accept(0, self.most)
             self.closed = True
             self._pause()
-            self.sock.close()
+            close(self.sock)
