Start again after a pause where a call of the start fails, and find signals the pipe lost

Callers saw a courier that ended with 2 as it was started, with messages owed, and one that served on after SIGTERM. Cause of the first, the crash of the report: main took every OSError of the start for final, of any of some twenty calls, so an error that was gone a moment later ended the process; epoll_create and pipe stood before the handler and ended it with a traceback. Cause of the second: the only trace of a signal was a byte in a pipe, which the system may not take. Class: a transient failure is treated as final, or as if it could not happen. Change: a start is tried for 25 s (the platform waits 30 s), each try with nothing left of the one before; a configuration that can be read and is wrong still ends it at once, a file that cannot be read just now does not. Signals are noted with their times and looked for every 100 ms too; the end counts from when SIGTERM came. Why it works: whatever the start needs, and not a list of calls, is asked for again.

--- a/ashvale/config/__init__.py
+++ b/ashvale/config/__init__.py
@@ -6,7 +6,7 @@
 (a page for each mistake).
 """
 
-from ashvale.config.base import GOOD_MAIL, GOOD_SET, ConfigError, address, get, parse
+from ashvale.config.base import GOOD_MAIL, GOOD_SET, ConfigError, Unreadable, address, get, parse
 from ashvale.config.daemon import (
     MAIL_CLASS,
     MAIL_KIND,
@@ -45,6 +45,7 @@
     "Platform",
     "Rule",
     "Trace",
+    "Unreadable",
     "address",
     "get",
     "has_set",
--- a/ashvale/config/base.py
+++ b/ashvale/config/base.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import ipaddress
 import json
 from typing import Any
@@ -19,6 +20,28 @@
     """Configuration that cannot be used; the text names the key."""
 
 
+class Unreadable(ConfigError):
+    """A file that the system could not read just now; what it says is not known."""
+
+
+# Errors that another try does not mend: the file is not there, or not this process's to read.
+_FINAL = (
+    errno.ENOENT,
+    errno.ENOTDIR,
+    errno.EISDIR,
+    errno.EACCES,
+    errno.EPERM,
+    errno.ELOOP,
+    errno.ENAMETOOLONG,
+)
+
+
+def unread(what: str, error: OSError) -> ConfigError:
+    """What it means that a file could not be read."""
+    kind = ConfigError if error.errno in _FINAL else Unreadable
+    return kind(f"{what}: {error.strerror or error}")
+
+
 def parse(text: bytes | str, what: str) -> Any:
     """Read JSON, or say that it is none."""
     try:
--- a/ashvale/config/daemon.py
+++ b/ashvale/config/daemon.py
@@ -28,6 +28,7 @@
     get,
     least,
     parse,
+    unread,
 )
 
 if TYPE_CHECKING:
@@ -464,7 +465,7 @@
     try:
         return tomllib.loads(file.read_text())
     except OSError as error:
-        raise ConfigError(f"{file.name}: {error.strerror}") from None
+        raise unread(file.name, error) from None
     except ValueError as error:
         raise ConfigError(f"{file.name}: not TOML ({error})") from None
 
@@ -479,7 +480,7 @@
     try:
         root = parse(Path(environ["LB_CONFIG"]).read_bytes(), "config")
     except OSError as error:
-        raise ConfigError(f"environment: key 'LB_CONFIG': {error}") from None
+        raise unread("environment: key 'LB_CONFIG'", error) from None
     limits = get(root, "limits", dict, {}, "config")
     listen = environ.get("LB_LISTEN") or get(root, "listen", str, what="config")
     discovery = "" if anew and "discovery" in root else environ.get("LB_DISCOVERY", "")
--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -41,28 +41,39 @@
     """One running courier."""
 
     def __init__(self, told: config.Config, loop: Loop, disk: Optional[Disk] = None) -> None:
+        """Raises `ConfigError`, `Full` or `OSError`, with nothing left open."""
         self.loop, self.told = loop, told
         journal = Journal(told.state, told.journal_bytes, loop.wall(), disk)
         self.exchange = Exchange(loop, told.settings, told.seed, journal)
         self._banned: dict[str, frozenset[str]] = {}
         self.tracer: Optional[Recorder] = None
-        self._trace(told)
         self.leaving = self._reading = self._succeeded = False
         self._again: Optional[Mapping[str, str]] = None
         self.tasks: list[Task] = []
         self.server: Optional[Server] = None
         self.discovery: Optional[Discovery] = None
         self.mail: Optional[MailFront] = None
+        self.operator: Optional[Door] = None
+        self.fleet: Optional[Node] = None
+        self.log_as: Callable[[config.Config], None] = lambda _told: None
+        try:
+            self._begin(told, journal)
+        except Exception:
+            self.halt()
+            raise
+
+    def _begin(self, told: config.Config, journal: Journal) -> None:
+        """Put the parts together; `journal` is read already."""
+        self._trace(told)
         if told.platform is not None:
             self._platform(told.platform)
         if told.mail is not None:
             self._mail_front(told.mail)
             self._mail_carrier(told.mail)
         self._share(told)
-        self.log_as: Callable[[config.Config], None] = lambda _told: None
         # After `_platform`, whose known list names the endpoints that a wait silences.
         self.waits = Waits(
-            loop,
+            self.loop,
             told.state,
             journal.waiting,
             told.platform is not None and told.platform.operator is not None,
@@ -71,10 +82,8 @@
         self.exchange.tell_wait = self.waits.tell
         self.exchange.resume()
         self._door(told)
-        self.operator: Optional[Door] = None
         if told.platform is not None and told.platform.operator is not None and self.server is not None:
             self._operator(told.platform.operator, told.state)
-        self.fleet: Optional[Node] = None
         if told.fleet is not None:
             self._fleet(told.fleet, told.state)
         if journal.waiting:
@@ -315,11 +324,11 @@
         fronts += [self.fleet.listener] if self.fleet and self.fleet.listener else []
         return {f"listen_{front.name}": f"{front.address[0]}:{front.address[1]}" for front in fronts}
 
-    def leave(self) -> None:
-        """Serve through the handover, deliver what can be delivered, and end."""
+    def leave(self, since: Optional[float] = None) -> None:
+        """Serve through the handover, deliver what can be delivered, and end; told to do so `since`."""
         if self.leaving:
             return
-        self.leaving, now = True, self.loop.now()
+        self.leaving, now = True, self.loop.now() if since is None else since
         log.info("leaving")
         if self.fleet is not None:
             self.fleet.leave()
@@ -327,12 +336,12 @@
         self._succeeded = self.exchange.journal.succeeded
         self.exchange.close_at(now + (HANDOVER_MS if self._succeeded else LAST_SEND_MS))
         if self.server is not None:
-            self.server.last_call()
+            self.server.last_call(now)
         self.loop.call_at(now + HANDOVER_MS, self._handed_over)
         self.loop.call_at(now + END_MS, self.loop.stop)
 
     def halt(self) -> None:
-        """End at once, as a kill would: for a courier that shares its loop with others."""
+        """End at once, as a kill would, also where not all parts are there yet: for a loop that goes on."""
         self.exchange.halt()
         if self.tracer is not None and self.tracer.store is not None:
             self.tracer.store.close()
@@ -340,9 +349,10 @@
             self.fleet.close()
         for task in self.tasks:
             task.cancel()
-        for listener in ((self.server.listener,) if self.server else ()) + tuple(
-            self.mail.listeners if self.mail else ()
-        ):
+        listeners = [self.server.listener] if self.server else []
+        listeners += self.mail.listeners if self.mail else []
+        listeners += [self.operator.listener] if self.operator else []
+        for listener in listeners:
             listener.close()
             for connection in list(listener.open):
                 connection.close()
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -150,10 +150,10 @@
     def ready(self) -> bool:
         return not (self.closing or self.draining)
 
-    def last_call(self) -> None:
-        """The process is to end: every answer ends its connection, and no request is waited for too long."""
+    def last_call(self, since: Optional[float] = None) -> None:
+        """The process was told to end: answers end connections, and no request is waited for too long."""
         self.closing = True
-        self._last = self.loop.now() + LAST_REQUEST_MS
+        self._last = (self.loop.now() if since is None else since) + LAST_REQUEST_MS
 
     def leave(self) -> None:
         """Accept no more, and end the connections on which no request is under way."""
