Read a configuration again that SIGHUP named and the system could not read just then

Callers would see a courier that stays with its old discovery after SIGHUP, or that never follows a SIGHUP again. Found in related code, same class as the start: an error of open or read was logged as a bad file; where no descriptor or thread could be had for reading a set, the mark that a reading is under way stayed set for good; a set's old copy that could not be removed stopped a configuration halfway.

--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -33,6 +33,8 @@
 HANDOVER_MS = 600.0  # after SIGTERM new connections still come for so long
 LAST_SEND_MS = 3000.0  # no attempt begins later than this after SIGTERM
 END_MS = 3500.0  # and the process ends, whatever is left; the journal keeps it
+READ_PATIENCE_MS = 10_000.0  # a configuration that cannot be read for the moment is tried for so long
+READ_AGAIN_MS = 50.0  # pause between two tries
 ADOPT_MS = 100.0  # how often a new process looks whether the one before it has ended
 log = logging.getLogger("ashvale")
 
@@ -196,7 +198,10 @@
                 except OSError as error:
                     log.error("set not kept", extra={"why": str(error)})
             else:
-                (told.state / name).unlink(missing_ok=True)
+                try:
+                    (told.state / name).unlink(missing_ok=True)
+                except OSError as error:
+                    log.error("old set not removed", extra={"why": str(error)})
             door = self.exchange.doors.get(front)
             if plan is not None and door is not None:
                 door.swap(plan, self.loop.now())
@@ -278,21 +283,33 @@
         self._again = environ if self._reading else None
         if self._reading:
             return
+        self._read(environ, self.loop.now() + READ_PATIENCE_MS)
+
+    def _read(self, environ: Mapping[str, str], until: float) -> None:
+        """Read it, again after a pause where the system cannot just now, but not later than `until`."""
         self._reading, old = True, self.told
 
+        def loaded(told: config.Config | Exception) -> None:
+            unread = isinstance(told, (OSError, config.Unreadable))
+            if unread and self._again is None and self.loop.now() < until:
+                log.warning("configuration not read, trying again", extra={"why": str(told)})
+                self.loop.call_at(self.loop.now() + READ_AGAIN_MS, lambda: self._read(environ, until))
+            else:
+                self._loaded(told)
+
         def read() -> config.Config:
             return config.load(environ, anew=True).after(old)
 
         if old.sources or old.mail_sources or config.has_set(environ):
             from ashvale.net.background import run_in_thread
 
-            run_in_thread(self.loop, read, self._loaded)
+            run_in_thread(self.loop, read, loaded)
             return
         try:
             told: config.Config | Exception = read()
         except Exception as error:
             told = error
-        self._loaded(told)
+        loaded(told)
 
     def _loaded(self, told: config.Config | Exception) -> None:
         self._reading = False
