--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -30,6 +30,7 @@
 REFUSED_MS = 500.0  # when to come back after a refusal at the door
 UNHEARD = float("inf")  # a wait of which the Controller has yet to hear
 SERVED_MOST = 4096  # destinations kept in mind
+WRITE_AGAIN_MS = 20.0  # pause before the journal is given again what it could not take
 HELD_BACK_MS = 100.0  # how often to look whether this process is alone again; and left for an end's notice
 NAMED_FROM = 1 << 20  # destinations with names instead of numbers are counted from here
 DELIVERED, RETURNED, FAILED = "delivered", "returned", "failed"
@@ -211,6 +212,8 @@
         self._telling: dict[str, int] = {}  # order keys of which an end is still to be heard, and how many
         self._behind: dict[str, list[Attempt]] = {}  # attempts that wait for that
         self._held_back: dict[int, Entry] = {}  # ordered messages of which the module hears once we are alone
+        self._untold: dict[int, Entry] = {}  # ends that are told once the journal has them
+        self._writes_again = False  # a timer runs that gives the journal what it lacks
         self._events: list[api.Event] = []
         self._due = self.halted = False
         self.ends = self.given_up = 0  # ends that were decided in this life, and those that are no delivery
@@ -274,6 +277,7 @@
             if self.tracer is not None:
                 self.tracer.resumed(entry)
             if entry.state:
+                self._occupy_key(entry)
                 self._tell(entry)
             elif entry.cls not in self._classes:
                 log.error("class no longer configured", extra={"id": entry.id, "cls": entry.cls})
@@ -448,7 +452,7 @@
     @property
     def _alone(self) -> bool:
         """True where no other process of this courier runs on its folder."""
-        return not (self.journal.waiting or self.journal.succeeded)
+        return self.journal.alone
 
     def _look_for_other_process(self) -> None:
         """The other process may have ended without leaving anything to be taken over."""
@@ -513,8 +517,9 @@
                 del self._ids[entry.front, entry.id]
             try:
                 self.journal.ended(entry)
-            except Full as error:  # after a restart it would be told once more, which does no harm
+            except Full as error:
                 log.error("end not written", extra={"id": entry.id, "why": str(error)})
+                self._write_later()
 
     # The endpoints' side
 
@@ -756,8 +761,9 @@
     def _journal_outcome(self, entry: Entry, outcome: Outcome, at: float, wait_ms: float) -> None:
         try:
             self.journal.outcome(entry, outcome.never_ran, self.wall(at), _NUMBERS[outcome], wait_ms)
-        except Full as error:  # without the record a restart takes it that the attempt may have run
+        except Full as error:  # until it is, a restart takes it that the attempt may have run
             log.error("outcome not written", extra={"id": entry.id, "why": str(error)})
+            self._write_later()
 
     # Turns
 
@@ -880,21 +886,55 @@
         self.ends, self.given_up = self.ends + 1, self.given_up + (state != DELIVERED)
         keep_ms = self.fronts[entry.front].keep_ms(entry, state, after_ms)
         keep_until = self.wall(self.loop.now()) + keep_ms if keep_ms > 0 else 0.0
+        written = True
         try:
             self.journal.decided(entry, state, after_ms, keep_until)
-        except Full as error:  # told all the same; after a restart it would be decided anew
-            log.error("end not written", extra={"id": entry.id, "why": str(error)})
-            entry.state, entry.after_ms, entry.keep_until = state, after_ms, keep_until
+        except Full as error:
+            log.error("end not written", extra={"id": entry.id, "state": state, "why": str(error)})
+            written = False
+            self._write_later()
         log.debug("ended", extra={"id": entry.id, "state": state, "after": after_ms})
         if self.tracer is not None:
             self.tracer.decided(entry)
-        self._tell(entry)
-
-    def _tell(self, entry: Entry) -> None:
+        self._occupy_key(entry)
+        if written or state == DELIVERED or self._cannot_wait(entry):
+            self._tell(entry)
+        else:  # guards a message whose client heard that it is over against a restart that sends it again
+            self._untold[entry.number] = entry
+
+    def _occupy_key(self, entry: Entry) -> None:
+        """From the decision on until the end has been heard, nothing else begins under its order key."""
         if entry.order:
             self._telling[entry.order] = self._telling.get(entry.order, 0) + 1
+
+    def _tell(self, entry: Entry) -> None:
         self.fronts[entry.front].ended(entry)
 
+    def _cannot_wait(self, entry: Entry) -> bool:
+        """Whether a message's time is up before the journal could be asked again."""
+        return self.loop.now() + WRITE_AGAIN_MS >= self.local(entry.deadline)
+
+    def _write_later(self) -> None:
+        if not self._writes_again:
+            self._writes_again = True
+            self.loop.call_at(self.loop.now() + WRITE_AGAIN_MS, self._write_again)
+
+    def _write_again(self) -> None:
+        """Give the journal what it lacks, and tell the ends that it has by now, or that cannot wait."""
+        self._writes_again = False
+        if self.halted:
+            return
+        written = True
+        try:
+            self.journal.catch_up()
+        except Full:
+            written = False
+            self._write_later()
+        for entry in list(self._untold.values()):
+            if written or self._cannot_wait(entry):
+                del self._untold[entry.number]
+                self._tell(entry)
+
     # The end of the process
 
     def close_at(self, at: float) -> None:
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -133,7 +133,10 @@
 
     def read(self, path: Path) -> tuple[bytes, Optional[float]]:
         """A file's content, and when it was last written (wall-clock seconds); none where there is none."""
-        return (path.read_bytes(), path.stat().st_mtime) if path.exists() else (b"", None)
+        try:
+            return path.read_bytes(), path.stat().st_mtime
+        except FileNotFoundError:
+            return b"", None
 
     def create(self, path: Path) -> int:
         return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
@@ -181,12 +184,21 @@
 
 
 class Journal:
-    """The file and its live entries."""
+    """The file and its live entries.
+
+    What could not be written leaves the file whole or marked: the next write begins by cutting half a record
+    off, or by putting a new file in its place. What has come about all the same (`outcome`, `decided`,
+    `ended`) is kept and written before anything else.
+    """
 
     def __init__(
         self, folder: Path, room: int, now: Optional[float] = None, disk: Optional[Disk] = None
     ) -> None:
-        """Read what `folder` holds and go on in it; `now` is wall-clock milliseconds."""
+        """Read what `folder` holds and go on in it; `now` is wall-clock milliseconds.
+
+        Raises `OSError` where the folder cannot be read or locked, and `Full` where two others write it.
+        Where it cannot be written, what it holds counts, and the first write that succeeds makes up for it.
+        """
         self._now = time.time() * 1000.0 if now is None else now
         self._disk = disk or Disk()
         self._main, self._aside = folder / "journal", folder / "journal.next"
@@ -196,10 +208,29 @@
         self._sizes: dict[int, int] = {}
         self._live = 0
         self._next = 1
-        self._file = -1
+        self._file = -1  # none: the next write begins with a new file
         self._size = 0
-        # Guards against two writers of one file in an upgrade: whoever holds `journal.lock` writes `journal`;
-        # a second process writes `journal.next` until the first has ended, and then adopts what it left.
+        self._closed = False
+        self._torn = False  # the file may end in half a record, behind `_size`
+        self._unwritten: list[bytes] = []  # records of what has come about, which the file lacks
+        self._joined: Optional[Path] = None  # a file whose entries are ours, and which is still to be removed
+        self._path = self._main
+        try:
+            self._take_over()
+        except (Full, OSError):
+            self.close()
+            raise
+        try:
+            self._make_ready()
+        except OSError as error:
+            log.error("journal not written", extra={"why": str(error)})
+
+    def _take_over(self) -> None:
+        """Lock and read what an ended process left, or a place beside one that still runs.
+
+        Guards against two writers of one file in an upgrade: whoever holds `journal.lock` writes `journal`;
+        a second process writes `journal.next` until the first has ended, and then adopts what it left.
+        """
         self.waiting = not self._disk.lock(self._lock)
         tries = 0
         while self.waiting and not self._disk.lock(self._aside_lock):
@@ -207,16 +238,12 @@
                 raise Full("two other processes write the journal's folder")
             time.sleep(0.01)  # guards a start against the moment in which the other one looks for us
         self._path = self._aside if self.waiting else self._main
-        self._disk.remove(self._new)
         for entry, size in self._load(self._path):
             self._next = max(self._next, entry.number + 1)
             self._add(entry, size)
         if not self.waiting and self._disk.lock(self._aside_lock):
             self._absorb(self._aside)  # what a newcomer wrote that ended before the old process did
-            self._disk.unlock(self._aside_lock)
-        self._rewrite()
-        if not self.waiting:
-            self._disk.remove(self._aside)
+            self._joined = self._aside
 
     @property
     def _new(self) -> Path:
@@ -224,35 +251,50 @@
 
     @property
     def succeeded(self) -> bool:
-        """True where another process writes beside this one, and takes over what it leaves."""
-        if self.waiting:
-            return False
+        """True where another process surely writes beside this one, and takes over what it leaves."""
         try:
-            if not self._disk.lock(self._aside_lock):
-                return True
+            return self._beside()
         except OSError:  # nobody can be told; then nobody counts on it
             return False
+
+    @property
+    def alone(self) -> bool:
+        """True where surely no other process writes in the folder."""
+        try:
+            return not (self.waiting or self._beside())
+        except OSError as error:
+            failed_calls.note("flock", error)
+            return False
+
+    def _beside(self) -> bool:
+        """Whether a newcomer writes beside this process; raises `OSError` where that cannot be found out."""
+        if self.waiting or self._joined is not None:  # in the second case the newcomer's lock is ours
+            return False
+        if not self._disk.lock(self._aside_lock):
+            return True
         self._disk.unlock(self._aside_lock)
         return False
 
     def adopt(self) -> list[Entry]:
-        """Once the process that wrote `journal` has ended, take over what it still owes; those entries."""
+        """Once the process that wrote `journal` has ended, take over what it still owes; those entries.
+
+        Where they cannot be written to one file at once, both files stay as they are until they can: nothing
+        else is written before.
+        """
         try:
             if not self.waiting or not self._disk.lock(self._lock):
                 return []
+            taken = self._absorb(self._main)
         except OSError as error:  # for want of a descriptor, say: it is asked again
-            log.error("lock not asked for", extra={"why": str(error)})
+            log.error("journal not adopted yet", extra={"why": str(error)})
+            self._disk.unlock(self._lock)
             return []
-        self.waiting = False
-        taken = self._absorb(self._main)
-        old, self._path = self._path, self._main
+        self.waiting, self._joined, self._path = False, self._path, self._main
+        self._leave_file()
         try:
-            self._rewrite()
-        except OSError as error:  # guards what was adopted: both files stay; the next rewrite joins them
-            log.error("journal not rewritten", extra={"why": str(error)})
-            return taken
-        self._disk.remove(old)
-        self._disk.unlock(self._aside_lock)  # free for the next upgrade's newcomer
+            self._make_ready()
+        except OSError as error:
+            log.error("journal not written", extra={"why": str(error)})
         return taken
 
     def _absorb(self, path: Path) -> list[Entry]:
@@ -276,45 +318,53 @@
         record = _frame(TAKEN, entry.pack())
         if 2 * (self._live + len(record) + _reserve(entry)) > self._budget:
             raise Full(f"the journal holds {len(self.entries)} messages and has room for no more")
-        self._room(len(record))
-        self._write(record)
+        self._append(record)
         self._next += 1
         self._add(entry, len(record))
 
     def started(self, entries: list[Entry], at: float, zone: int, endpoint: str = "") -> None:
-        """Write down that an attempt begins, before it does; and where, for messages that are traced."""
+        """Write down that an attempt begins, before it does, or raise `Full`.
+
+        And where it begins, for messages that are traced.
+        """
         name = endpoint.encode()[:NAME_MOST]
         heads = ((_STARTED.pack(entry.number, at, zone), entry.trace) for entry in entries)
-        data = b"".join(_frame(STARTED, head + name if traced else head) for head, traced in heads)
-        self._room(len(data))
-        self._write(data)
+        self._append(b"".join(_frame(STARTED, head + name if traced else head) for head, traced in heads))
         for entry in entries:
             entry.started(at, zone, name.decode("utf-8", "ignore"))
 
     def outcome(
         self, entry: Entry, never_ran: bool, at: float = 0.0, number: int = 0, told: float = 0.0
     ) -> None:
-        """Write down how an attempt ended; `at`, the outcome's `number` and `told` for traced messages."""
+        """Write down how an attempt ended; `at`, the outcome's `number` and `told` for traced messages.
+
+        Like `decided` and `ended` it counts at once; `Full` says that the file learns of it later.
+        """
         more = _TRACED.pack(at, number, told) if entry.trace else b""
-        data = _frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more)
-        self._room(len(data))
         entry.outcome(never_ran, at, number if entry.trace else 0, told)
-        self._write(data)
+        self._append_or_keep(_frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more))
 
     def decided(self, entry: Entry, state: str, after_ms: float, keep_until: float = 0.0) -> None:
         """Write down how a message ends, before anybody is told."""
-        data = _frame(DECIDED, _DECIDED.pack(entry.number, after_ms, keep_until) + state.encode())
-        self._room(len(data))
         entry.state, entry.after_ms, entry.keep_until = state, after_ms, keep_until
-        self._write(data)
+        head = _DECIDED.pack(entry.number, after_ms, keep_until)
+        self._append_or_keep(_frame(DECIDED, head + state.encode()))
 
     def ended(self, entry: Entry) -> None:
         """Nothing more is owed for a message, nor remembered of it."""
         if self.entries.pop(entry.number, None):
             self._live -= self._sizes.pop(entry.number)
-            data = _frame(ENDED, _ENDED.pack(entry.number))
-            self._room(len(data))
-            self._write(data)
+            self._append_or_keep(_frame(ENDED, _ENDED.pack(entry.number)))
+
+    @property
+    def behind(self) -> bool:
+        """True while the file lacks something that has come about."""
+        return bool(self._unwritten)
+
+    def catch_up(self) -> None:
+        """Write what the file lacks, or raise `Full`."""
+        if self._unwritten:
+            self._append(b"")
 
     def shorten(self, entry: Entry) -> None:
         """Keep only the outcome: the body of a message that is over is not needed any more."""
@@ -330,36 +380,92 @@
         self._sizes[entry.number] = size + _reserve(entry)
         self._live += size + _reserve(entry)
 
-    def _room(self, wanted: int) -> None:
-        """Guards the disk limit: old and new file must fit together when the journal is next rewritten."""
-        if self._size + wanted + self._live > self._budget:
-            try:
-                self._rewrite()
-            except OSError as error:
-                self._disk.remove(self._new)
-                raise Full(f"the journal cannot be rewritten: {error}") from error
-
-    def _write(self, data: bytes) -> None:
-        """Append whole records or nothing: half a record would hide all that follow it."""
+    def _append(self, data: bytes) -> None:
+        """Append whole records, behind those that the file still lacks; or nothing, and raise `Full`."""
+        if self._closed:  # the folder may be another process's by now
+            raise Full("the journal is closed")
         try:
+            self._make_ready()
+            self._room(sum(map(len, self._unwritten)) + len(data))
+            data = b"".join([*self._unwritten, data])
+            self._torn = True
             self._write_all(self._file, data)
         except OSError as error:
-            self._disk.truncate(self._file, self._size)
+            self._cut_off()
             raise Full(f"the journal cannot be written: {error}") from error
+        self._torn = False
         self._size += len(data)
+        if self._unwritten:
+            log.info("journal written again", extra={"records": len(self._unwritten)})
+            self._unwritten = []
+
+    def _append_or_keep(self, data: bytes) -> None:
+        """Append a record, or keep it for later and raise `Full`."""
+        try:
+            self._append(data)
+        except Full as error:
+            if not self._unwritten:
+                log.error("journal not written", extra={"why": str(error)})
+            self._unwritten.append(data)
+            raise
+
+    def _make_ready(self) -> None:
+        """Have a file that records may be appended to, or raise `OSError`."""
+        if self._torn:
+            self._cut_off()
+        if self._torn or self._file < 0:
+            self._rewrite()
+        if self._joined is not None:
+            # Guards against entries that come back: what ends from here on is still owed in that file.
+            self._disk.remove(self._joined)
+            self._joined = None
+            self._disk.unlock(self._aside_lock)  # free for the next upgrade's newcomer
+
+    def _cut_off(self) -> None:
+        """Cut off what a failed write left: half a record would hide all that follow it."""
+        if not self._torn or self._file < 0:
+            return
+        try:
+            self._disk.truncate(self._file, self._size)
+            self._torn = False
+        except OSError as error:
+            log.error("half a record not cut off", extra={"at": self._size, "why": str(error)})
+
+    def _room(self, wanted: int) -> None:
+        """Guards the disk limit: old and new file must fit together when the journal is next rewritten."""
+        if self._size + wanted + self._live > self._budget:
+            self._rewrite()
 
     def _rewrite(self) -> None:
+        """Put a new file with the live entries in the place of the old one, or raise `OSError`."""
         file = self._disk.create(self._new)
         try:
             data = b"".join(_frame(TAKEN, entry.pack()) for entry in self.entries.values())
             size = self._write_all(file, data)
+        except OSError:
+            self._disk.close(file)
+            self._remove_new()
+            raise
+        self._leave_file()  # whichever of the two has the name then, the next write begins with another one
+        try:
             self._disk.replace(self._new, self._path)
         except OSError:
             self._disk.close(file)
             raise
+        self._file, self._size, self._torn, self._unwritten = file, size, False, []
+
+    def _remove_new(self) -> None:
+        """Give the room back that an unfinished file takes; another one takes its place in any case."""
+        try:
+            self._disk.remove(self._new)
+        except OSError as error:
+            failed_calls.note("unlink", error)
+
+    def _leave_file(self) -> None:
+        """Write no more to the file at hand; another one comes in its place."""
         if self._file >= 0:
-            self._disk.close(self._file)
-        self._file, self._size = file, size
+            old, self._file = self._file, -1
+            self._disk.close(old)
 
     def _load(self, path: Path) -> list[tuple[Entry, int]]:
         """The live entries of one file, as its writer left them, each with the size of its record."""
@@ -372,7 +478,10 @@
             payload = data[at + _HEAD.size : at + _HEAD.size + size]
             if len(payload) != size or zlib.crc32(payload) != check:
                 break
-            _replay(entries, kind, payload)
+            try:
+                _replay(entries, kind, payload)
+            except (KeyError, TypeError, ValueError, struct.error) as error:  # whole, and not understood
+                log.error("journal record not read", extra={"at": at, "kind": kind, "why": str(error)})
             at += _HEAD.size + size
         if at < len(data):  # guards a restart against a record that the end of the process cut short
             log.warning("journal cut short", extra={"kept": at, "dropped": len(data) - at})
@@ -386,11 +495,16 @@
     def _write_all(self, file: int, data: bytes) -> int:
         view = memoryview(data)
         while view:
-            view = view[self._disk.write(file, view) :]
+            taken = self._disk.write(file, view)
+            if not taken:
+                raise OSError(errno.ENOSPC, "nothing was taken")
+            view = view[taken:]
         return len(data)
 
     def close(self) -> None:
-        self._disk.close(self._file)
+        """Let go of the file and the locks, as the process' end would; nothing is written any more."""
+        self._closed = True
+        self._leave_file()
         for lock in (self._lock, self._aside_lock):
             self._disk.unlock(lock)
 
