Answer a request whose handling failed

Callers would see a connection closed over a request that was read. Change: it is logged with the request's id, what was taken on is withdrawn, and the client hears 503, which is harmless to hand in again.

--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -178,7 +178,7 @@
                 used = True
                 if request is None:
                     return
-                status, headers, taken = self._answer(request)
+                status, headers, taken = self._answer_or_refuse(request)
             except Refused as refused:
                 status = refused.status
                 log.info("malformed", extra={"status": status, "why": refused.why})
@@ -259,6 +259,20 @@
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
 
+    def _answer_or_refuse(self, request: Request) -> tuple[int, list[tuple[str, str]], Optional[Entry]]:
+        """`_answer`; a fault of ours is a refusal with nothing taken on, so that the client hears."""
+        id = request.headers.get("request-id", "")
+        known = self.exchange.find("platform", id)
+        try:
+            return self._answer(request)
+        except Refused:
+            raise
+        except Exception:
+            log.exception("request failed", extra={"id": id[:200]})
+            if known is None and (taken := self.exchange.find("platform", id)) is not None:
+                self.exchange.withdraw(taken)
+            return 503, [("Retry-After", f"{REFUSED_MS / 1000.0:.3f}")], None
+
     def _answer(self, request: Request) -> tuple[int, list[tuple[str, str]], Optional[Entry]]:
         if request.path == "/up":
             if request.method not in ("GET", "HEAD"):
