Keep bans, told waits and a fleet's folder through calls that fail for a moment

A failed stat of the file of bans was taken for no file: every ban was lifted until the next look, and endpoints that operators took out got calls. A told wait that could not be appended was never told to the other process of an upgrade, and a short write left half a line that the next one ended. A fleet's folder that could not be opened once kept the courier out of the fleet for its whole life.

--- a/ashvale/fleet/node.py
+++ b/ashvale/fleet/node.py
@@ -234,11 +234,13 @@
             return
         try:
             self.store = self.store or Store(self.folder, self.told.name, self.told.courier)
-        except BlockingIOError as error:
+        except OSError as error:  # another process has it, or the system lacked something just now
+            if str(error) != self.why and not isinstance(error, BlockingIOError):
+                log.error("folder not opened, trying again", extra={"why": str(error)})
             self.why = str(error)
             self.loop.call_at(self.loop.now() + LOCK_MS, self._begin)
             return
-        except (Spoilt, OSError) as error:
+        except Spoilt as error:
             self.why = str(error)
             log.error("takes no part in the fleet", extra={"why": self.why})
         try:
--- a/ashvale/net/operator.py
+++ b/ashvale/net/operator.py
@@ -53,8 +53,11 @@
         """Follow the file, if it changed since it was last read."""
         try:
             stat = self.path.stat()
-        except OSError:
+        except FileNotFoundError:
             seen, names = None, frozenset[str]()
+        except OSError as error:  # guards bans against a file that cannot be looked at just now
+            log.error("bans not read", extra={"why": str(error)})
+            return
         else:
             seen = stat.st_mtime_ns, stat.st_size
             if seen == self._seen:
--- a/ashvale/shared_waits.py
+++ b/ashvale/shared_waits.py
@@ -16,6 +16,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ashvale.descriptors import close_descriptor
+from ashvale.log import failed_calls
 from ashvale.loop import Loop
 
 LOOK_MS = 25.0  # how often the file is looked at beside another process; partners let 100 ms pass
@@ -36,6 +38,7 @@
         self.loop, self.path, self.heard = loop, folder / "waits", heard
         self.every = LOOK_MS if two_processes or likely else ALONE_MS
         self._at, self._file = 0, 0  # read up to there, of the file with that number
+        self._unwritten = bytearray()  # lines that the file does not have yet
         self._known: dict[str, float] = {}  # what runs, as far as this process knows
         if not two_processes:
             self._clear()
@@ -48,18 +51,27 @@
         if short or len(name := route.encode()) > ROUTE_MOST or b"\n" in name:
             return
         self._known[route] = max(until, self._known.get(route, 0.0))
+        self._unwritten += b"%.0f %s\n" % (until, name)
+        self._write()
+
+    def _write(self) -> None:
+        """Append what the file still lacks; what cannot be written now is with the next look at it."""
         try:
             file = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
             try:
-                os.write(file, b"%.0f %s\n" % (until, name))
+                while self._unwritten:  # guards the reader against half a line, where the system takes a part
+                    del self._unwritten[: os.write(file, self._unwritten)]
                 long = os.fstat(file).st_size > FILE_MOST
             finally:
-                os.close(file)
+                close_descriptor(file)
             if long:
                 self.look()
                 self._shorten()
         except OSError as error:
-            log.error("wait not written", extra={"route": route, "why": str(error)})
+            failed_calls.note("waits", error)
+            if len(self._unwritten) > FILE_MOST:
+                log.error("waits not written", extra={"why": str(error)})
+                self._unwritten.clear()
 
     def look(self) -> None:
         """Read what another process has appended since."""
@@ -97,6 +109,8 @@
                 self.heard(route, until)
 
     def _look(self) -> None:
+        if self._unwritten:
+            self._write()
         self.look()
         self.loop.call_at(self.loop.now() + self.every, self._look)
 
