--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import errno
+import gc
+import os
 import signal
+import socket
+import threading
+from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
-from ashvale.lab.stand_ins import STALL, Endpoint
-from ashvale.loop import Broken, Connection, Coroutine, Expired
+from ashvale.journal import Entry
+from ashvale.lab.stand_ins import LONG_MS, STALL, Endpoint, run
+from ashvale.loop import Broken, Connection, Coroutine, Expired, Loop, connect
+from ashvale.net.background import run_in_thread
+from ashvale.net.operator import Bans
+from ashvale.shared_waits import Waits
 from tests.faults import Fault, FaultyProgram, tracebacks
-from tests.stage import Scene, request, scene
+from tests.stage import Scene, answer, request, scene
 from tests.test_main import Program
 
 AT_START = (
@@ -82,6 +92,19 @@
     return endpoint
 
 
+def on_one_connection(s: Scene) -> Callable[[bytes], bytes]:
+    """Ask on a connection that is open already."""
+    assert s.courier.server is not None
+    address = s.courier.server.listener.address
+    connection = run(s.loop, connect(s.loop, address, s.loop.now() + LONG_MS))
+
+    def ask(data: bytes) -> bytes:
+        run(s.loop, connection.send(data, s.loop.now() + LONG_MS))
+        return bytes(run(s.loop, connection.receive(s.loop.now() + LONG_MS)))
+
+    return ask
+
+
 def ended(s: Scene, endpoint: Endpoint) -> set[str]:
     """The messages that were delivered or whose end was told."""
     told = {call.headers.get("request-id", "") for call in endpoint.calls}
@@ -174,3 +197,145 @@
         assert not endpoint.garbled and {c.headers["request-id"] for c in endpoint.calls} <= set(sent)
         assert program.ask(request("rate-update", "last")).startswith(b"HTTP/1.1 202 ")
         assert not tracebacks(program.stop())
+
+
+def test_a_configuration_that_cannot_be_read_for_a_moment_is_in_force_after_all() -> None:
+    """Guards SIGHUP against an error of the system, for which the file was taken to be bad."""
+    with scene() as s:
+        program = FaultyProgram(s, Fault("config", errno.ENFILE), failing=False)
+        program.fail(True)
+        program.process.send_signal(signal.SIGHUP)
+        s.until(lambda: program.hits > 0)
+        program.fail(False)
+        program.read_until("configuration read anew")
+        assert "configuration not read, trying again" in program.log
+        assert "configuration not used" not in program.stop()
+
+
+def test_a_fault_of_ours_in_a_request_is_answered_and_takes_nothing_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards a request that was read against a connection that ends with no answer."""
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.start()
+        hold = s.courier.exchange._hold
+
+        def fails(entry: Entry) -> None:
+            hold(entry)
+            raise ValueError("odd")
+
+        monkeypatch.setattr(s.courier.exchange, "_hold", fails)
+        assert s.hand_in()[1].startswith(b"HTTP/1.1 503 ")
+        monkeypatch.setattr(s.courier.exchange, "_hold", hold)
+        id, answer = s.hand_in()
+        assert answer.startswith(b"HTTP/1.1 202 ")
+        s.until(lambda: s.courier.exchange.idle)
+        assert [call.headers["request-id"] for call in endpoint.calls] == [id]
+
+
+def test_an_end_that_the_journal_lacks_is_told_once_it_has_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards a message whose end was told against a restart that finds it untried and sends it again."""
+    with scene() as s:
+        s.endpoint(*([answer(429, x_come_back_ms="60000")] * 3))
+        s.start()
+        journal = s.courier.exchange.journal
+        real = journal._write_all
+
+        def full(file: int, data: bytes) -> int:
+            if b"returned" in data:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return real(file, data)
+
+        monkeypatch.setattr(journal, "_write_all", full)
+        id, _ = s.hand_in(timeout="4000m")
+        s.until(lambda: journal.behind)
+        s.rest(100.0)
+        assert not s.discovery.notices
+        monkeypatch.setattr(journal, "_write_all", real)
+        s.until(lambda: [notice["id"] for notice in s.discovery.notices] == [id])
+        s.until(lambda: s.courier.exchange.idle)
+        s.again()
+        assert s.courier.exchange.idle
+
+
+def test_a_socket_that_this_machine_lacks_says_nothing_of_the_endpoint(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards a partner that is well against being held to be out because no descriptor was left here."""
+    with scene() as s:
+        endpoint = s.endpoint()
+        s.start()
+        s.until(lambda: s.courier.exchange.listed)
+        real, failed = s.loop.socket, list[int]()
+
+        def none_left(family: int) -> socket.socket:
+            failed.append(family)
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        ask, id = on_one_connection(s), "m1"
+        with monkeypatch.context() as patch:
+            patch.setattr(s.loop, "socket", none_left)
+            assert ask(request("rate-update", id)).startswith(b"HTTP/1.1 202 ")
+            s.until(lambda: len(failed) > 0)
+        assert s.loop.socket == real
+        s.until(lambda: len(endpoint.calls) == 1, 1500.0)
+        assert not s.discovery.notices
+
+
+def test_a_file_of_bans_that_cannot_be_looked_at_lifts_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards endpoints that operators took out of service against calls after one stat that failed."""
+    told = list[frozenset[str]]()
+    bans = Bans(tmp_path, told.append)
+    bans.set("s-1", True)
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, "stat", lambda _path: (_ for _ in ()).throw(OSError(errno.EIO, "no")))
+        bans.look()
+    bans.look()
+    assert told == [frozenset({"s-1"})]
+
+
+def test_a_wait_that_cannot_be_written_reaches_the_other_process_with_the_next_look(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards a wait that one process of an upgrade was told against a write that failed or was short."""
+    loop, heard = Loop(), list[str]()
+    ours = Waits(loop, tmp_path, True, True, lambda _route, _until: None)
+    Waits(loop, tmp_path, True, True, lambda route, _until: heard.append(route))
+    real, calls = os.write, list[int]()
+
+    def failing(file: int, data: bytes) -> int:
+        calls.append(len(data))
+        if len(calls) % 2:
+            return real(file, bytes(data)[:9])
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", failing)
+        ours.tell("destination 12", loop.now() + 5000.0)
+        ours.tell("destination 7", loop.now() + 5000.0)
+    until = loop.now() + 1000.0
+    while len(heard) < 2 and loop.now() < until:
+        loop.turn(10.0)
+    assert heard == ["destination 12", "destination 7"]
+
+
+@pytest.mark.parametrize("lacking", ["eventfd", "thread"])
+def test_work_for_which_no_thread_can_be_had_ends_as_an_error(
+    monkeypatch: pytest.MonkeyPatch, lacking: str
+) -> None:
+    """Guards a reading of the configuration against one that is under way for good."""
+
+    def none(*_: object, **_more: object) -> int:
+        raise (OSError if lacking == "eventfd" else RuntimeError)("none left")
+
+    loop, found = Loop(), list[object]()
+    where, name = (os, "eventfd") if lacking == "eventfd" else (threading.Thread, "start")
+    monkeypatch.setattr(where, name, none)
+    run_in_thread(loop, lambda: 1, found.append)
+    until = loop.now() + 1000.0
+    while not found and loop.now() < until:
+        loop.turn(10.0)
+    assert isinstance(found[0], OSError) and gc.isenabled()
