Log each answer that its connection does not prove, and the status of each attempt

Change: 'answer not proven' with ids, endpoint, connection, place, status and why (info; debug for 200), and the status in 'attempt'. No behaviour changes.

--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -129,6 +129,7 @@
     last: bool = False  # the endpoint is asked to end the connection behind its answer, which proves that
     connection: int = 0  # the number of the connection it went on, for the log
     place: int = 0  # which call on that connection it was, from 1
+    status: int = 0  # of the answer that was read for it
     connected: float = 0.0
     written: float = 0.0
     first: float = 0.0
@@ -680,6 +681,7 @@
                 "wait": wait_ms,
                 "connection": attempt.connection,
                 "place": attempt.place,
+                "status": attempt.status,
                 "proven": not unproven,
             },
         )
--- a/ashvale/net/calls.py
+++ b/ashvale/net/calls.py
@@ -184,8 +184,10 @@
             reply.ends = decode_batch(bytes(reply.body))
         ends = reply.ends or {}
         named = {entry.id: ends[entry.id] for entry in attempt.parts if entry.id in ends}
-        reply.aligned = client.history.certain
-        reply.proven = client.history.read(reply.status, named)
+        reply.aligned, seen = client.history.certain, client.history.seen(reply.status)
+        attempt.status, reply.proven = reply.status, client.history.read(reply.status, named)
+        if not reply.proven:
+            _note_doubt(attempt, reply, seen)
         reply.presumed = not reply.proven and reply.status == DELIVERED and not attempt.named
         if reply.presumed:
             self._settle(attempt, reply)
@@ -323,6 +325,22 @@
             self.exchange.probed(call, outcome, wait_ms(reply.headers), load)
 
 
+def _note_doubt(attempt: Attempt, reply: Reply, seen: bool) -> None:
+    """Log an answer that its connection does not prove to be the call's own, and why it does not."""
+    log.log(
+        logging.DEBUG if reply.status == DELIVERED else logging.INFO,
+        "answer not proven",
+        extra={
+            "ids": [entry.id for entry in attempt.parts],
+            "endpoint": attempt.endpoint.name,
+            "connection": attempt.connection,
+            "place": attempt.place,
+            "status": reply.status,
+            "why": "one like it came before" if seen else "an earlier answer may have been a copy",
+        },
+    )
+
+
 def _crowded(attempt: Attempt, reply: Reply, wait: float) -> bool:
     """Tell a full connection table from a limit: it turns a new connection away and ends it, with no wait.
 
