--- a/ashvale/lab/stand_ins.py
+++ b/ashvale/lab/stand_ins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Optional
@@ -111,6 +112,8 @@
     ) -> None:
         self.loop, self.script, self.name, self.edges, self.took = loop, list(script), name, edges, took
         self.marks = True  # the last answer of a connection says that it is
+        self.ends = True  # a connection ends where the courier asks for that
+        self.breaks = True  # an answer that is not whole ends its connection
         self.calls: list[Call] = []
         self.connections = self.out = self.most_out = 0
         self.listener = Listener(loop, (HERE, 0), self._serve, 100, "endpoint")
@@ -138,15 +141,24 @@
             # A first line with 200 is a delivery, whatever comes of the rest; not so in a batch.
             told = b"\r\n\r\n" in data[9:] or (data[:12] == b"HTTP/1.1 200" and call.path == "/hook")
             self._ends(part, data[9:12].decode("latin-1") if told else "broken off", data)
-            last = call.headers.get("connection") == "close"
+            last = call.headers.get("connection") == "close" and self.ends
             if last and self.marks:
                 data = data.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
             yield from connection.send(data, FOREVER)
-            if isinstance(action, bytes) and b"\r\n\r\n" not in action:
-                return  # an answer that breaks off
+            if isinstance(action, bytes) and self._is_cut(action):
+                if not self.breaks:
+                    yield Signal(), FOREVER
+                return
             if last:
                 return
 
+    @staticmethod
+    def _is_cut(action: bytes) -> bool:
+        """Whether an answer breaks off, within its head or its body."""
+        head, end, body = action.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+        return not end or (length is not None and len(body) < int(length[1]))
+
     def _works(self, connection: Connection, part: list[int], until: float) -> Coroutine[None]:
         """A call takes its time, also when the courier has let go of it; that it has is noted at once."""
         while self.loop.now() < until:
@@ -205,6 +217,10 @@
         self.seq, self.changed = 1, Signal()
         self.hosts = {"s-0": {"host": "s-0", "dial": f"{HERE}:9", "block": 1, "health": "DRAINING"}}
         self.down, self.refuse = False, 0
+        self.script: Callable[[], str] = lambda: (
+            ""
+        )  # for each notice: DROP, STALL, or a status in place of 204
+        self.unreadable = ""  # the id of a message whose notice is answered 400
         self.indent: Optional[int] = None
         self.notices: list[dict[str, Any]] = []
         self.asked: list[str] = []
@@ -233,8 +249,18 @@
         while True:
             call = yield from read_request(connection, self.loop, 0)
             if call.path == "/v1/notices":
+                if action := self.script():
+                    if action == STALL:
+                        yield Signal(), FOREVER
+                    if action == DROP:
+                        return connection.close()
+                    yield from connection.send(answer(int(action)), FOREVER)
+                    continue
                 self.refuse -= 1
                 told = [json.loads(line) for line in call.body.splitlines()]
+                if self.unreadable in [notice["id"] for notice in told]:
+                    yield from connection.send(answer(400), FOREVER)
+                    continue
                 self.notices += told if self.refuse < 0 else []
                 for notice in told:
                     if self.edges is not None and self.refuse < 0:
--- a/tests/repeating.py
+++ b/tests/repeating.py
@@ -39,6 +39,7 @@
     piece: int = 0  # bytes at a time; 0: whole
     first: int = 1  # the first answer of a connection that is repeated
     limit: int = 1  # answers repeated on one connection
+    hold_ms: float = 0.0  # UNDER_WAY: how long the request's last byte is held back behind the copy
     chosen: Callable[[bytes], bool] = lambda _answer: True
 
     def __str__(self) -> str:
@@ -141,6 +142,7 @@
                     yield from sleep(self.loop, copies.after_ms)
                 yield from self._repeat(answer, copies)
             if held:
+                yield from sleep(self.loop, max(copies.hold_ms for _, copies in now))
                 yield from self.far.send(request[-1:], FOREVER)
 
     def _repeat(self, answer: bytes, copies: Copies) -> Coroutine[None]:
--- a/tests/test_reply_binding.py
+++ b/tests/test_reply_binding.py
@@ -89,3 +89,52 @@
         recipients = [RATE, RATE.replace("@", "2@")]
         replies = run(loop, Client(loop, stage.address()).send(SENDER, recipients, MESSAGE))
         assert not replies[0].startswith("250") or partner.accepted >= len(partner.deliveries[-1].recipients)
+
+
+class BriefPartner(Partner):
+    """Ends its session right behind its reply to the final dot, without waiting for QUIT."""
+
+    def _say(self, connection: Connection, script: Script, step: str, usual: str) -> Coroutine[bool]:
+        more = yield from super()._say(connection, script, step, usual)
+        return more and not step.startswith("dot")
+
+
+@pytest.mark.parametrize("recipient", [RATE, USAGE])
+@pytest.mark.parametrize("lmtp", [False, True])
+@pytest.mark.parametrize("reply", ["250 taken", "250 2.0.0 ok: queued as 4F2", "554 5.0.0 no"])
+def test_a_session_that_ends_behind_its_reply_has_told_the_messages_end(
+    recipient: str, lmtp: bool, reply: str
+) -> None:
+    """Guards against a second delivery: without QUIT's 221 a reply unlike all before it counted as lost."""
+
+    def other(loop: Loop) -> Partner:
+        return BriefPartner(loop, lmtp, [{"dot": reply}] * 9)
+
+    with staged(other) as (loop, partner, stage):
+        replies = run(loop, Client(loop, stage.address()).send(SENDER, [recipient], MESSAGE))
+        run(loop, sleep(loop, 1500.0))
+        assert codes(replies) == [reply[:3]] and len(partner.deliveries) == 1
+
+
+def test_a_session_that_ends_behind_its_refusal_is_followed_by_another() -> None:
+    """Guards against loss: without QUIT's 221 a refusal for now counted as a call that may have run."""
+
+    def other(loop: Loop) -> Partner:
+        partner = BriefPartner(loop, False, [{"dot": "451 4.2.0 busy"}])
+        return partner
+
+    with staged(other) as (loop, partner, stage):
+        replies = run(loop, Client(loop, stage.address()).send(SENDER, [USAGE], MESSAGE))
+        assert codes(replies) == ["250"] and len(partner.deliveries) == 2
+
+
+def test_a_reply_like_an_earlier_one_at_a_sessions_end_sends_nothing_again() -> None:
+    """Guards against a second delivery: a partner says the same each time, and ends behind the last."""
+
+    def other(loop: Loop) -> Partner:
+        return BriefPartner(loop, False, [{"dot": "250 ok"}] * 9)
+
+    with staged(other) as (loop, partner, stage):
+        replies = run(loop, Client(loop, stage.address()).send(SENDER, [RATE], MESSAGE))
+        run(loop, sleep(loop, 1500.0))
+        assert len(replies) == 1 and len(partner.deliveries) == 1
