Make no further call with a message that an endpoint called over or spent

What callers saw: messages of which an endpoint had said 410 ('the message is over') were called again, up to eight times, and those answered 504 until their attempts were used up. Cause: a 410 that its connection did not prove to be the call's own (the second on a connection, or one behind two equal answers) counted as an attempt that may have run, so the class sent it again; a 504 counted as an attempt that never ran and ended nothing, proven or not. That mixes up two questions: whose answer it is, and what may be done. Doubt was resolved by a call, which WIRE's rule 1 forbids if the answer is the call's own. Change: such an answer says 'spent', proven or not, whole or broken off behind its first line, in a batch, behind a presumed delivery or for a connection's last call. A marked last answer behind another one now counts as what it says.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -195,6 +195,7 @@
         if m.key:
             self.turns.setdefault(m.key, []).append(m)
         m.attempts, m.kept, m.halves = event.attempts, event.kept, not self.s.fades_linear
+        m.spent = event.spent
         m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)  # in an earlier life
         self._later(self._repeat_by(m), m.dest, m.id)
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
@@ -264,7 +265,7 @@
     def _expire(self, m: Message, now: float, line: float = 0.0) -> None:
         """Guards clients against silence: what cannot go in time any more, or at all, is answered now."""
         start = max(now + line, m.not_before, self.dests[m.dest].shut_until())
-        late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts
+        late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts or m.spent
         if not (m.out or m.done) and (late or start >= self._repeat_by(m)):
             self._give_up(m, now)
 
@@ -278,7 +279,15 @@
     def _may_send(self, m: Message, e: Endpoint, now: float) -> bool:
         """The guard of every send: rules two, three, five and six for this message and endpoint."""
         held = max(m.not_before, e.lane.blocked_until) > now or m.attempts >= self.s.max_attempts
-        if now >= self.closing_at or held or m.done or m.out or not e.ready or now >= self._repeat_by(m):
+        if (
+            now >= self.closing_at
+            or held
+            or m.spent
+            or m.done
+            or m.out
+            or not e.ready
+            or now >= self._repeat_by(m)
+        ):
             return False
         if m.maybe_ran and m.cls.effect is Effect.KEYED and m.cls.group != "all" and e.zone != m.maybe_ran[1]:
             return False
@@ -424,6 +433,7 @@
         if event.may_have_run and not m.maybe_ran:
             m.maybe_ran = (call.sent, e.zone)
             self._later(self._repeat_by(m), m.dest, m.id)
+        m.spent = m.spent or event.spent
         if event.finished or m.done:
             return self._finish(m, now)
         if event.no_slot or event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED):
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -507,6 +507,7 @@
             ran_at,
             entry.ran_zone,
             entry.resumed and not entry.attempts,
+            entry.spent,
         )
 
     def withdraw(self, entry: Entry) -> None:
@@ -643,11 +644,13 @@
         no_slot: bool = False,
         load: Optional[dict[str, float]] = None,
         unproven: bool = False,
+        spent: bool = False,
     ) -> None:
         """One part of an attempt has ended; `over` is the message's end where the endpoint tells it.
 
         `unproven`: the answer may have been another call's, so the attempt may have run whatever it says; a
-        delivery is presumed then, until the carrier confirms or disproves it.
+        delivery is presumed then, until the carrier confirms or disproves it. `spent`: the answer, proven or
+        not, says that no further attempt may be made.
         """
         if self.halted or entry.number not in attempt.open:
             return
@@ -659,6 +662,8 @@
         if outcome is Outcome.OK and unproven and entry.number in self._owed:
             self._presumed[entry.number] = Presumed(attempt, entry, ended)
         else:
+            if spent and not finished:
+                self._note_spent(entry)
             self._record(attempt, entry, outcome, ended, wait_ms, unproven)
             if outcome is Outcome.OK or over:
                 self._decide(entry, over or DELIVERED)
@@ -683,6 +688,7 @@
                 "place": attempt.place,
                 "status": attempt.status,
                 "proven": not unproven,
+                "spent": spent,
             },
         )
         self._post(
@@ -697,6 +703,7 @@
                 no_slot,
                 load or {},
                 unproven,
+                spent,
             )
         )
 
@@ -715,13 +722,28 @@
         if self.tracer is not None:
             self.tracer.settled(attempt, entry, outcome, wait_ms, ended)
 
+    def _note_spent(self, entry: Entry) -> None:
+        """Write down that no further attempt may be made, so that a restart makes none either."""
+        try:
+            self.journal.spent(entry)
+        except Full as error:
+            log.error("outcome not written", extra={"id": entry.id, "why": str(error)})
+            self._write_later()
+
     def confirm(self, entry: Entry) -> None:
         """A presumed delivery stands: nothing else has come for its call."""
         if not self.halted and (presumed := self._presumed.pop(entry.number, None)):
             self._record(presumed.attempt, entry, Outcome.OK, presumed.at, 0.0)
             self._decide(entry, DELIVERED)
 
-    def disprove(self, entry: Entry, outcome: Outcome, wait_ms: float = 0.0, unproven: bool = False) -> None:
+    def disprove(
+        self,
+        entry: Entry,
+        outcome: Outcome,
+        wait_ms: float = 0.0,
+        unproven: bool = False,
+        spent: bool = False,
+    ) -> None:
         """A presumed delivery was none, as the call's own answer or its loss shows: the message goes on.
 
         The decisions have it anew, with the attempts made; what the answer tells of a wait binds."""
@@ -731,6 +753,8 @@
             "delivery taken back",
             extra={"id": entry.id, "endpoint": presumed.attempt.endpoint.name, "outcome": outcome.value},
         )
+        if spent:
+            self._note_spent(entry)
         self._record(presumed.attempt, entry, outcome, self.loop.now(), wait_ms, unproven)
         if wait_ms > 0:
             self.hear_wait_in_head(presumed.attempt, wait_ms)
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -170,6 +170,7 @@
     ran_at: Optional[float] = None  # send time of the first attempt that may have run
     ran_zone: int = 0
     kept: bool = False  # taken on in an earlier life, which never tried it
+    spent: bool = False  # an endpoint has said that no further attempt is to be made
 
 
 @dataclass(frozen=True)
@@ -184,6 +185,7 @@
     """An attempt ended. `finished` tells that the message is over; `wait_ms` that 0 or more was told.
 
     `unproven`: the answer may have been another call's, so whatever it says the attempt may have run.
+    `spent`: no further attempt may be made, by an answer that may have been another call's too.
     """
 
     message: int
@@ -196,6 +198,7 @@
     no_slot: bool = False
     report: dict[str, float] = field(default_factory=dict)
     unproven: bool = False
+    spent: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -35,7 +35,8 @@
 _DECIDED = struct.Struct("<Qdd")  # number, advice, keep until; then the state's name
 _ENDED = struct.Struct("<Q")
 _TRACED = struct.Struct("<dBf")  # behind an outcome, where traced: time, its number, told wait
-TAKEN, STARTED, OUTCOME, DECIDED, ENDED = range(1, 6)
+_SPENT = struct.Struct("<Q")
+TAKEN, STARTED, OUTCOME, DECIDED, ENDED, SPENT = range(1, 7)
 
 RESERVE = 640  # room kept for what is still to be written about an entry: eight attempts and its end
 TRACED_RESERVE = 1280  # and for what a traced message's history adds to that
@@ -82,6 +83,7 @@
     order: str = ""  # its order key; empty where its class keeps no order
     taken: float = 0.0  # and when it was taken on
     resumed: bool = False  # an earlier life of the process took it on
+    spent: bool = False  # an endpoint has said that no further attempt is to be made
     trace: str = ""  # the message's place in a trace; empty where it is not traced
     # Of a traced message: each attempt's begin, endpoint, outcome (by number), end and told wait; and with
     # no endpoint, from when to when no process was there.
@@ -357,6 +359,11 @@
         entry.outcome(never_ran, at, number if entry.trace else 0, told)
         self._append_or_keep(_frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more))
 
+    def spent(self, entry: Entry) -> None:
+        """Write down that no further attempt may be made for a message; like `outcome` it counts at once."""
+        entry.spent = True
+        self._append_or_keep(_frame(SPENT, _SPENT.pack(entry.number)))
+
     def decided(self, entry: Entry, state: str, after_ms: float, keep_until: float = 0.0) -> None:
         """Write down how a message ends, before anybody is told."""
         entry.state, entry.after_ms, entry.keep_until = state, after_ms, keep_until
@@ -457,7 +464,7 @@
             self._rewrite_after = self._clock() + REWRITE_AGAIN_MS
         file = self._disk.create(self._new)
         try:
-            data = b"".join(_frame(TAKEN, entry.pack()) for entry in self.entries.values())
+            data = b"".join(map(_snapshot, self.entries.values()))
             size = self._write_all(file, data)
         except OSError:
             self._disk.close(file)
@@ -542,6 +549,8 @@
     elif kind == OUTCOME:
         more = _TRACED.unpack_from(payload, _OUTCOME.size) if len(payload) > _OUTCOME.size else ()
         found.outcome(_OUTCOME.unpack_from(payload)[1], *more)
+    elif kind == SPENT:
+        found.spent = True
     elif kind == DECIDED:
         _, found.after_ms, found.keep_until = _DECIDED.unpack_from(payload)
         found.state = payload[_DECIDED.size :].decode()
@@ -549,6 +558,12 @@
         del entries[found.number]
 
 
+def _snapshot(entry: Entry) -> bytes:
+    """The records that stand for an entry in a new file."""
+    taken = _frame(TAKEN, entry.pack())
+    return taken + _frame(SPENT, _SPENT.pack(entry.number)) if entry.spent else taken
+
+
 def _reserve(entry: Entry) -> int:
     return RESERVE + TRACED_RESERVE if entry.trace else RESERVE
 
--- a/ashvale/net/answers.py
+++ b/ashvale/net/answers.py
@@ -58,6 +58,15 @@
         return self.certain
 
 
+@dataclass(frozen=True)
+class Verdict:
+    """What an answer says of a message, if it is the own one of a call with it."""
+
+    outcome: Outcome
+    over: str = ""  # the message's end, where it tells that
+    spent: bool = False  # no further call may be made: that holds whoever's answer it is
+
+
 @dataclass(frozen=True)
 class Answer:
     """The head of an answer, whatever call it belongs to."""
@@ -76,9 +85,9 @@
         return self.headers.get(b"x-line-busy") == b"1"
 
     @property
-    def outcome(self) -> tuple[Outcome, str]:
-        """What it says of a message; see `outcome_of`."""
-        return outcome_of(self.status, self.line_busy)
+    def verdict(self) -> Verdict:
+        """What it says of a message; see `verdict_of`."""
+        return verdict_of(self.status, self.line_busy)
 
 
 class SurplusAnswers:
@@ -116,14 +125,16 @@
                 return
 
 
-def outcome_of(end: int | str, busy: bool = False) -> tuple[Outcome, str]:
-    """What a status, or a word of a batch's answer, says of a message; and its end where it is over."""
+def verdict_of(end: int | str, busy: bool = False) -> Verdict:
+    """What a status, or a word of a batch's answer, says of a message; `busy`: of a busy line."""
     if end in (200, "delivered"):
-        return Outcome.OK, ""
+        return Verdict(Outcome.OK)
     if end in (410, "over"):
-        return Outcome.MOOT, exchange.DELIVERED
-    if end in (504, "spent") or (end == 503 and busy):
-        return Outcome.MOOT, ""
+        return Verdict(Outcome.MOOT, exchange.DELIVERED, spent=True)
+    if end in (504, "spent"):
+        return Verdict(Outcome.MOOT, spent=True)
+    if end == 503 and busy:
+        return Verdict(Outcome.MOOT)
     if end in (429, 503, "refused"):
-        return Outcome.FULL, ""
-    return Outcome.ERROR, ""  # an answer that is not understood proves nothing
+        return Verdict(Outcome.FULL)
+    return Verdict(Outcome.ERROR)  # an answer that is not understood proves nothing
--- a/ashvale/net/calls.py
+++ b/ashvale/net/calls.py
@@ -14,7 +14,7 @@
 from ashvale.interface import Outcome, Scarcity
 from ashvale.journal import Entry
 from ashvale.loop import FOREVER, Broken, Coroutine, Expired, Loop, Unavailable, connect
-from ashvale.net.answers import DELIVERED, outcome_of
+from ashvale.net.answers import DELIVERED, Answer, verdict_of
 from ashvale.net.doubts import Doubt, Doubts, LastAnswers, Surplus, read_surplus
 from ashvale.net.http_client import HttpClient, OutOfTurn, Reply, wait_ms
 from ashvale.net.pool import Carrier, NoConnection, Stopped
@@ -146,7 +146,8 @@
         if client is not None and (reply.whole or (reply.status == DELIVERED and not attempt.named)):
             yield from self._take_answer(client, attempt, reply)
         for entry in attempt.parts:
-            self.exchange.report(attempt, entry, outcome, wait_ms(reply.headers), no_slot=later)
+            wait, spent = wait_ms(reply.headers), _says_spent(attempt, entry, reply)
+            self.exchange.report(attempt, entry, outcome, wait, no_slot=later, spent=spent)
         if client is not None and reply.proven is False and client not in self.doubts:
             # Guards its messages against a second call beside the first, which may be out and ends here.
             self._note_end(endpoint.name, client, "the answer may be another call's")
@@ -218,20 +219,23 @@
             extra = {"endpoint": name, "connection": client.connection.number, "end": surplus.end.value}
             log.info("last answer not marked", extra=extra | {"statuses": [a.status for a in found.answers]})
         self.doubts.settle(client, found.prior_stands if own is not None else False)
-        reply.proven = own is first
-        entry = attempt.parts[0]
-        if own is first or not reply.presumed:
-            self._settle(attempt, reply)
-            if reply.presumed:
-                self.exchange.confirm(entry)
-            return
+        reply.proven = own is not None
+        if own is not None and not reply.presumed:
+            reply.status, reply.headers = own.status, own.headers
+        spent = own is None and any(answer.verdict.spent for answer in found.answers)
+        self._settle(attempt, reply, spent)
+        if reply.presumed:
+            self._end_presumed(attempt.parts[0], own, spent)
+
+    def _end_presumed(self, entry: Entry, own: Optional[Answer], spent: bool) -> None:
+        """Say what became of a delivery that was presumed, by the call's own answer, if that is known."""
         if own is None:
-            return self.exchange.disprove(entry, Outcome.RESET)
-        outcome, over = own.outcome
-        if over or outcome is Outcome.OK:
+            return self.exchange.disprove(entry, Outcome.RESET, spent=spent)
+        verdict = own.verdict
+        if verdict.over or verdict.outcome is Outcome.OK:
             self.exchange.confirm(entry)
         else:
-            self.exchange.disprove(entry, outcome, wait_ms(own.headers))
+            self.exchange.disprove(entry, verdict.outcome, wait_ms(own.headers), spent=verdict.spent)
 
     def _ask(self, client: HttpClient, attempt: Attempt, reply: Reply) -> Coroutine[None]:
         wait = f"{max(1, round(attempt.until - self.loop.now()))}m"
@@ -268,13 +272,16 @@
         self._settle(attempt, reply)
         return LINGER_MS
 
-    def _settle(self, attempt: Attempt, reply: Reply) -> None:
-        """Report each message of the call by what has come back, and by what that proves."""
+    def _settle(self, attempt: Attempt, reply: Reply, spent: bool = False) -> None:
+        """Report each message of the call by what has come back, and by what that proves.
+
+        `spent`: an answer that may be the call's own says that no further call may be made."""
         wait, busy = wait_ms(reply.headers), reply.answer.line_busy
         load = self._load(reply)
         for entry in attempt.parts:
             end = reply.status if reply.ends is None else reply.ends.get(entry.id, "")
-            outcome, over = outcome_of(end, busy)
+            verdict = verdict_of(end, busy)
+            outcome = verdict.outcome
             if outcome is Outcome.FULL and _crowded(attempt, reply, wait):
                 outcome = Outcome.CROWDED
             self.exchange.report(
@@ -282,10 +289,11 @@
                 entry,
                 outcome,
                 wait,
-                over if reply.proven else "",
+                verdict.over if reply.proven else "",
                 outcome is Outcome.MOOT and busy,
                 load,
                 not reply.proven,
+                spent or verdict.spent,
             )
 
     def _load(self, reply: Reply, body: bytes = b"") -> dict[str, float]:
@@ -312,7 +320,7 @@
             else:
                 target = "/metrics/load" if self.exchange.settings.report_fields else "/alive"
                 yield from client.ask("GET", target, [], b"", call.until, reply)
-                outcome, _ = outcome_of(reply.status)
+                outcome = verdict_of(reply.status).outcome
                 client.history.read(reply.status)
                 load = self._load(reply, bytes(reply.body))
         except Unavailable:
@@ -325,6 +333,14 @@
             self.exchange.probed(call, outcome, wait_ms(reply.headers), load)
 
 
+def _says_spent(attempt: Attempt, entry: Entry, reply: Reply) -> bool:
+    """Whether what has come of an answer, whole or not, says that no further call may be made."""
+    if reply.status != DELIVERED or not attempt.named:
+        return verdict_of(reply.status).spent
+    lines = bytes(reply.body[: reply.body.rfind(b"\n") + 1])
+    return verdict_of(decode_batch(lines).get(entry.id, "")).spent
+
+
 def _note_doubt(attempt: Attempt, reply: Reply, seen: bool) -> None:
     """Log an answer that its connection does not prove to be the call's own, and why it does not."""
     log.log(
--- a/ashvale/net/doubts.py
+++ b/ashvale/net/doubts.py
@@ -238,12 +238,12 @@
         """A call's own answer has come, and is no delivery: what was read for it was the copy of another."""
         doubts, chain.doubts = chain.doubts, []
         proven = len(doubts) == 1 and doubts[0].aligned and not client.history.seen(answer.status)
-        outcome, over = answer.outcome
+        verdict, wait = answer.verdict, wait_ms(answer.headers)
         for doubt in doubts:
-            if over and proven:
+            if verdict.over and proven:
                 self.exchange.confirm(doubt.entry)
             else:
-                self.exchange.disprove(doubt.entry, outcome, wait_ms(answer.headers), not proven)
+                self.exchange.disprove(doubt.entry, verdict.outcome, wait, not proven, verdict.spent)
 
 
 def _no_delivery(answer: Answer) -> bool:
--- a/ashvale/net/http_client.py
+++ b/ashvale/net/http_client.py
@@ -150,9 +150,10 @@
 
     @staticmethod
     def _first_line(start: bytes, reply: Reply) -> None:
-        """Guards a delivery whose answer broke off after its first line: that line already says it."""
-        if not reply.status and re.match(rb"HTTP/1\.[01] 200[ \r][^\n]*\n|HTTP/1\.[01] 200\r?\n", start):
-            reply.status = 200
+        """Guards an end whose answer broke off after its first line: that line already says it."""
+        line = re.match(rb"HTTP/1\.[01] (200|410|504)(?:[ \r][^\n]*)?\n", start)
+        if line is not None and not reply.status:
+            reply.status = int(line[1])
 
     @property
     def reusable(self) -> bool:
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -29,6 +29,7 @@
     not_before: float = 0.0
     halves: bool = False  # its worth falls by half with each further aim, and not evenly
     kept: bool = False  # a restart found it untried: it is tried before it is given up
+    spent: bool = False  # an endpoint has said that no further attempt is to be made
     maybe_ran: Optional[tuple[float, int]] = None  # send time and zone of the first such attempt
 
     def worth_at(self, at: float) -> float:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -43,6 +43,20 @@
     assert (back["3"].state, back["3"].after_ms, back["3"].keep_until) == ("returned", 250.0, 77.0)
 
 
+def test_what_has_no_attempt_left_has_none_after_any_restart(tmp_path: Path) -> None:
+    """Guards against a call for a message that is over: the next process, and the one after, knew nothing."""
+    first = Journal(tmp_path, ROOM)
+    one, two = entry("1"), entry("2")
+    for each in (one, two):
+        first.take(each)
+    first.started([one, two], 1000.0, 4)
+    first.spent(one)
+    first.outcome(one, never_ran=True)
+    for _ in range(3):  # each start writes the file anew
+        first = again(first, tmp_path)
+        assert {e.id: e.spent for e in first.entries.values()} == {"1": True, "2": False}
+
+
 def test_what_has_ended_stays_away_and_numbers_are_not_used_twice(tmp_path: Path) -> None:
     first = Journal(tmp_path, ROOM)
     one, two = entry("1"), entry("2")
