Take an unmarked last answer behind which nothing came for a presumed delivery

Cause: a connection's last answer without its mark counted as lost, also where the connection stayed open and silent until the call's time-out, which is what confirms every other presumed delivery; the deliveries before it on that connection were taken back with it. And until the first such call was over (its whole time-out), every other call of that endpoint asked for the end as well. Change: such a 200 is presumed like any other and confirmed by the silence, where it may be taken back at all; one call at a time finds out whether an endpoint marks. Evidence: test_endpoints_that_ignore_the_wish_for_an_end_run_each_message_once ran some of 60 messages twice before (m5, m6, m12, m44 and more), each once now. A marked answer, a closed connection and another answer count as before (tests/test_answer_binding.py passes).

--- a/ashvale/net/calls.py
+++ b/ashvale/net/calls.py
@@ -15,7 +15,7 @@
 from ashvale.journal import Entry
 from ashvale.loop import FOREVER, Broken, Coroutine, Expired, Loop, Unavailable, connect
 from ashvale.net.answers import DELIVERED, Answer, verdict_of
-from ashvale.net.doubts import Doubt, Doubts, LastAnswers, Surplus, read_surplus
+from ashvale.net.doubts import Doubt, Doubts, End, LastAnswers, Surplus, read_surplus
 from ashvale.net.http_client import HttpClient, OutOfTurn, Reply, wait_ms
 from ashvale.net.pool import Carrier, NoConnection, Stopped
 
@@ -62,11 +62,13 @@
         super().__init__(loop, exchange, most_idle)
         self.doubts = Doubts(loop, exchange, self._give_back)
         self._marks: dict[str, bool] = {}  # endpoints asked for a connection's end, and whether they mark it
+        self._asking: dict[str, Attempt] = {}  # the first that asks an endpoint, until it is known to mark
 
     def close_idle(self, endpoint: str) -> None:
         super().close_idle(endpoint)
         if endpoint not in self.exchange.endpoints:
             self._marks.pop(endpoint, None)
+            self._asking.pop(endpoint, None)
         self.doubts.unwanted(endpoint)
 
     def halt(self) -> None:
@@ -92,14 +94,20 @@
         elif (extends := self._extends(attempt)) or ends:
             client = self.doubts.lend(name)
             attempt.last = client is not None and not extends
+        if attempt.last and name not in self._marks:
+            self._asking[name] = attempt
         return client
 
     def _may_end(self, name: str, attempt: Attempt) -> bool:
         """Whether a call may ask for its connection's end as proof: the endpoint is to mark its last answer.
 
-        What may not be taken back goes so only where it surely does."""
-        marks = self._marks.get(name)
-        return marks is True or (marks is None and attempt.revocable)
+        What may not be taken back goes so only where it surely does; of the others one finds that out."""
+        if (marks := self._marks.get(name)) is not None:
+            return marks
+        return attempt.revocable and not self._is_out(self._asking.get(name))
+
+    def _is_out(self, attempt: Optional[Attempt]) -> bool:
+        return attempt is not None and id(attempt) in self._tasks
 
     def _would_presume(self, client: HttpClient, attempt: Attempt) -> bool:
         """Whether a delivery by that connection would not be proven by its answer's place or words."""
@@ -218,6 +226,9 @@
         if first is not own:
             extra = {"endpoint": name, "connection": client.connection.number, "end": surplus.end.value}
             log.info("last answer not marked", extra=extra | {"statuses": [a.status for a in found.answers]})
+        silent = surplus.end is End.SILENT and surplus.refusal is None
+        if own is None and reply.presumed and silent and attempt.revocable:
+            return self._doubt(client, attempt, reply)  # as sure as any delivery behind which nothing came
         self.doubts.settle(client, found.prior_stands if own is not None else False)
         reply.proven = own is not None
         if own is not None and not reply.presumed:
