Tell a message's end only once a call in doubt can have no answer of its own any more

Cause: an answer that may be another call's ends the attempt at once; where no try or no time was left, the message's end was told at once too, while its call could still be on its way (a relay or a partner's queue holds its last byte back). Change: after an unproven answer the decisions tell no end before that call's time-out, or the last moment that the message's time leaves; a message that may go again does so as before.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -240,6 +240,7 @@
     def _give_up_least(self, among: Iterable[Message], now: float) -> None:
         """Give up at once, of what may be refused, the one that earns least when its queue has drained."""
         waiting = [m for m in among if not (m.out or m.done or m.kept) and self._may_refuse(m)]
+        waiting = [m for m in waiting if now >= m.ends_from]
         drained = {dest: now + self._drain(dest, now) for dest in {m.dest for m in waiting}}
         if waiting:
             self._give_up(min(waiting, key=lambda m: m.worth_at(drained[m.dest])), now)
@@ -266,8 +267,11 @@
         """Guards clients against silence: what cannot go in time any more, or at all, is answered now."""
         start = max(now + line, m.not_before, self.dests[m.dest].shut_until())
         late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts or m.spent
-        if not (m.out or m.done) and (late or start >= self._repeat_by(m)):
-            self._give_up(m, now)
+        if m.out or m.done or not (late or start >= self._repeat_by(m)):
+            return
+        if now < m.ends_from:
+            return self._later(m.ends_from, m.dest, m.id)
+        self._give_up(m, now)
 
     def _repeat_by(self, m: Message) -> float:
         """Rule two for repeats: until when another attempt is harmless, wherever it may go."""
@@ -400,11 +404,13 @@
             self.calls_out, e.last_sent = self.calls_out + 1, now
             if e.out_since is not None:
                 self._next_trial(e, now)
-        e.calls[-1].members += 1
-        self.attempts[(m.id, m.attempts)] = e.calls[-1]
+        call = e.calls[-1]
+        call.members += 1
+        self.attempts[(m.id, m.attempts)] = call
         # Guards slots against lost calls; doubled each time, as a message may be long. Unsafe ones end by it.
         patience = PATIENCE[1] if m.cls.effect is Effect.UNSAFE else PATIENCE[0] * 2.0 ** min(m.attempts, 4)
         until = min(m.deadline - 2 * self.s.tick_ms, now + patience * max(MARGIN_MS[2] * 3, e.lane.usual))
+        call.until = max(call.until, until)
         m.attempts, m.out, m.kept = m.attempts + 1, m.out + 1, False
         (dest := self.dests[m.dest]).queue.remove(m)
         self.limits.went(m.id, now)
@@ -434,6 +440,9 @@
             m.maybe_ran = (call.sent, e.zone)
             self._later(self._repeat_by(m), m.dest, m.id)
         m.spent = m.spent or event.spent
+        if event.unproven and event.outcome is not Outcome.OK:
+            # Guards who hears of an end against a call behind it: its own answer has yet to come, perhaps.
+            m.ends_from = min(call.until, m.deadline - EDGE_MS)
         if event.finished or m.done:
             return self._finish(m, now)
         if event.no_slot or event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED):
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -30,6 +30,7 @@
     halves: bool = False  # its worth falls by half with each further aim, and not evenly
     kept: bool = False  # a restart found it untried: it is tried before it is given up
     spent: bool = False  # an endpoint has said that no further attempt is to be made
+    ends_from: float = NEVER  # its end is not told before: a call with it may be on its way until then
     maybe_ran: Optional[tuple[float, int]] = None  # send time and zone of the first such attempt
 
     def worth_at(self, at: float) -> float:
@@ -47,6 +48,7 @@
     endpoint: Endpoint
     sent: float
     members: int = 0
+    until: float = NEVER  # its own answer is awaited until then
     lost: bool = False  # its answer never came, though it was written
 
 
