Take a mail reply unlike all before it for the message's own, whatever ends the session

Cause: only QUIT's 221 proved a reply, and a session that ended without it counted as a call that was lost. The doubt was resolved by a second delivery. Change: 354 shows that the envelope's replies were in their places, so a reply behind the message that is unlike all before it is no copy and counts by itself; 221 is still asked for, and decides for a reply like an earlier one. Where even that stays away, the message is neither sent again nor called delivered: it ends as failed, which breaks no rule whichever reading is true. A refusal for now without 221 is a refusal, so what may go once goes again. QUIT is said once.

--- a/ashvale/net/mail.py
+++ b/ashvale/net/mail.py
@@ -36,6 +36,7 @@
 REST_MS = (5000.0, 10000.0)  # rest before HELO, and later, for which a client is sent away in a full house
 ERRORS_MOST = 20  # a client that errs more often is sent away
 BYE = 221  # the reply to QUIT, and to nothing else
+LEAVE_MS = 300.0  # QUIT's reply is awaited for so long where nothing depends on it
 HOPS_MOST = 100  # a message that has come further goes in circles
 _PATH = re.compile(r"<(?:@[^:<>]*:)?((?:\"(?:[^\"\\]|\\.)*\"|[^<>\"\s])*)>((?:\s.*)?)\Z")
 _REPLY = re.compile(rb"([2-5][0-9]{2})(?:([ -])(.*?))?\r?\n\Z", re.S)
@@ -472,7 +473,8 @@
     """The requesting side of one connection, for one transaction.
 
     Nothing in a reply says which command it answers, and a network may bring one again. A copy in the place
-    of another command's reply is seen where that has to be of another kind; behind the message QUIT's own
+    of another command's reply is seen where that has to be of another kind: 354 shows that the envelope's
+    were in their places. Behind the message a reply unlike all before it is no copy; for any other QUIT's own
     reply, 221, shows that every reply before it was in its place. So a connection serves one transaction.
     """
 
@@ -484,6 +486,11 @@
         self.written = False
         self.attempt: Optional[Attempt] = None  # is told when things happened
         self.calls = 0  # transactions begun on this connection
+        self.answers: list[tuple[int, str]] = []  # the replies to the final dot, once all have come
+        self.surplus: list[tuple[int, str]] = []  # replies behind those that are not QUIT's own
+        self.leaving = False  # QUIT has been said
+        self.proven = True  # each reply to the final dot is unlike all replies before it
+        self._heard: set[tuple[int, tuple[str, ...]]] = set()
         self._unknown: Optional[tuple[int, list[str]]] = (
             None  # the reply to EHLO of one that knows HELO alone
         )
@@ -493,6 +500,12 @@
         """Bytes that have come behind the last reply."""
         return len(self.connection.inbound)
 
+    def _is_new(self, code: int, texts: list[str]) -> bool:
+        """Note a reply; whether none like it came before in this session."""
+        known = len(self._heard)
+        self._heard.add((code, tuple(texts)))
+        return len(self._heard) > known
+
     def reply(self, until: float) -> Coroutine[tuple[int, list[str]]]:
         """Read a reply of one line or several."""
         texts: list[str] = []
@@ -508,6 +521,7 @@
     def expect(self, kind: int, until: float, early: bool = False) -> Coroutine[list[str]]:
         """Read a reply that is to be positive, of the kind that its first digit says."""
         code, texts = yield from self.reply(until)
+        self._is_new(code, texts)
         if (code, texts) == self._unknown or (code < 400 and code // 100 != kind):
             raise Broken(f"reply out of turn: {code}")
         if code >= 400:
@@ -522,24 +536,26 @@
         yield from self.expect(2, until, early=True)
         yield from self._say(f"{'LHLO' if self.lmtp else 'EHLO'} {self.name}", until)
         code, texts = yield from self.reply(until)
+        self._is_new(code, texts)
         if code >= 500 and not self.lmtp:  # an old server that knows no extensions
             self._unknown = code, texts
             yield from self._say(f"HELO {self.name}", until)
             code, texts = yield from self.reply(until)
+            self._is_new(code, texts)
         if code >= 300:
             raise Declined(code, " ".join(texts), early=True)
         words = (text.split(None, 1) for text in texts[1:])
         self.extensions = {w[0].upper(): w[1] if len(w) > 1 else "" for w in words if w}
 
-    def leave(self, until: float) -> Coroutine[list[tuple[int, str]]]:
-        """End the session; return the replies that came before QUIT's own, of which none belongs there."""
-        surplus: list[tuple[int, str]] = []
+    def leave(self, until: float) -> Coroutine[None]:
+        """End the session; note the replies that come before QUIT's own, of which none belongs there."""
+        self.leaving = True
         yield from self._say("QUIT", until)
         while True:
             code, texts = yield from self.reply(until)
             if code == BYE:
-                return surplus
-            surplus.append((code, " ".join(texts)))
+                return
+            self.surplus.append((code, " ".join(texts)))
 
     def deliver(
         self,
@@ -549,8 +565,8 @@
         until: float,
         check: Callable[[], None],
         begin: Callable[[], None],
-    ) -> Coroutine[list[tuple[int, str]]]:
-        """One transaction; the replies to its final dot: one, or with LMTP one for each recipient.
+    ) -> Coroutine[None]:
+        """One transaction; notes the replies to its final dot: one, or with LMTP one for each recipient.
 
         `check` raises where the transaction is not to go on, and is asked before each thing that is said;
         `begin` is so too, right before the message itself.
@@ -583,8 +599,9 @@
                 raise Broken(f"reply out of turn: {code}")
             if self.attempt is not None and not answers:
                 self.attempt.first = self.connection.loop.now()
+            self.proven = self._is_new(code, texts) and self.proven
             answers.append((code, " ".join(texts)))
-        return answers
+        self.answers = answers
 
     def _agree(self, lines: list[str], until: float) -> Coroutine[None]:
         """The envelope, in one go where the server allows it; all of it is agreed or none."""
@@ -641,7 +658,7 @@
         )
 
     def _drop(self, client: MailClient) -> None:
-        if not client.connection.stale:
+        if not (client.leaving or client.connection.stale):
             client.connection.outbound.append(b"QUIT\r\n")
             client.connection.flush()
         client.connection.close()
@@ -655,8 +672,8 @@
             lmtp = attempt.endpoint.name.startswith("lmtp:")
             client = MailClient(connection, lmtp, self.setup.hostname)
             yield from client.greet(until)
-            answers = yield from self._deliver(client, attempt)
-            outcome, wait, over = verdict(answers, (yield from client.leave(until)))
+            yield from self._deliver(client, attempt)
+            outcome, wait, over = yield from self._learn_end(client, until)
         except Declined as error:
             outcome, wait, over = judge(error.code, error.text, error.early)
         except Stopped as stopped:  # cut short, which undoes a transaction whatever it has come to
@@ -667,6 +684,7 @@
             log.debug("attempt broke", extra={"endpoint": attempt.endpoint.name, "why": str(error)})
             if client is not None and client.written:  # the dot was sent: it may have taken effect
                 outcome = Outcome.TIMEOUT if isinstance(error, Expired) else Outcome.RESET
+                over = unproven_end(client.answers, client.surplus)
             elif isinstance(error, Expired):
                 outcome = self._too_late(attempt)
                 if client is not None:
@@ -676,8 +694,19 @@
             self._drop(client)
         return None
 
-    def _deliver(self, client: MailClient, attempt: Attempt) -> Coroutine[list[tuple[int, str]]]:
-        """Hand the attempt's message over; the replies to its final dot."""
+    def _learn_end(self, client: MailClient, until: float) -> Coroutine[tuple[Outcome, float, str]]:
+        """End the session, and return what became of its message."""
+        if not client.proven:
+            yield from client.leave(until)
+            return verdict(client.answers, client.surplus)
+        try:
+            yield from client.leave(min(until, self.loop.now() + LEAVE_MS))
+        except (Broken, Expired) as error:
+            log.debug("session not left", extra={"why": str(error)})
+        return verdict(client.answers)
+
+    def _deliver(self, client: MailClient, attempt: Attempt) -> Coroutine[None]:
+        """Hand the attempt's message over."""
         client.attempt = attempt
         client.calls += 1
         attempt.connection, attempt.place = client.connection.number, client.calls
@@ -685,15 +714,13 @@
         envelope, body = json.loads(entry.envelope), entry.body
         if self.setup.trace_headers:
             body = with_headers(body, self.exchange.trace_headers(attempt))
-        return (
-            yield from client.deliver(
-                envelope["from"],
-                envelope["to"],
-                body,
-                attempt.until,
-                lambda: self._check(attempt),
-                lambda: self._begin(attempt),
-            )
+        yield from client.deliver(
+            envelope["from"],
+            envelope["to"],
+            body,
+            attempt.until,
+            lambda: self._check(attempt),
+            lambda: self._begin(attempt),
         )
 
 
@@ -715,6 +742,16 @@
     return outcome, max(wait_in(text) for code, text in bad) if outcome is Outcome.FULL else wait, over
 
 
+def unproven_end(answers: Sequence[tuple[int, str]], surplus: Sequence[tuple[int, str]]) -> str:
+    """The message's end where its session ended without a proof that the replies were its own; or none.
+
+    Guards a message that may have been taken against a second delivery, and one that may not against a word
+    that it was: neither is sent again nor called delivered. With other replies its class decides.
+    """
+    alike = len({code // 100 for code, _ in answers}) == 1 and not surplus
+    return FAILED if alike and answers[0][0] // 100 in (2, 5) else ""
+
+
 def head_of(body: bytes) -> Message:
     """The header fields of a message."""
     return email.parser.BytesHeaderParser().parsebytes(re.split(rb"(?:^|\r\n)\r\n", body, maxsplit=1)[0])
