--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -269,7 +269,7 @@
             self._mail_carrier(mail) if self.told.mail is None else self.carrier.configure(mail)
         if told.platform is not None and self.discovery is not None:
             self.discovery.move(told.platform.discovery)
-            self.notices.channel.move(told.platform.discovery)
+            self.notices.move(told.platform.discovery)
         self.exchange.journal.limit(told.journal_bytes)
         self._trace(told)
         self._door(told)
