Let an order key settle behind a refusal that may be another call's

Cause: only a call without an answer let its key rest (order_settle_ms); a refusal that its connection does not prove left the next message free, though the call may still run. Change: such a key rests from the call's time-out on. Evidence: test_an_order_key_settles_behind_a_refusal_that_may_be_another_calls failed before, passes now. Two unit tests say what a spent message and one in doubt get.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -432,17 +432,18 @@
         rare = self.dests[e.dest].arrived_since(now - RATE_MS) <= 1
         if (e.kind in self.crowded or rare) and not (e.calls or self.dests[e.dest].queue):
             self.actions.append(api.CloseIdle(e.target))
-        if m.key and event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+        doubted = event.unproven and event.outcome is not Outcome.OK
+        if doubted:
+            # Guards who hears of an end against a call behind it: its own answer has yet to come, perhaps.
+            m.ends_from = min(call.until, m.deadline - EDGE_MS)
+        if m.key and (doubted or event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)):
             self.rests = {key: until for key, until in self.rests.items() if until > now}
-            self.rests[m.key] = now + self.s.order_settle_ms
+            self.rests[m.key] = max(now, m.ends_from) + self.s.order_settle_ms
             self._later(self.rests[m.key], m.dest)
         if event.may_have_run and not m.maybe_ran:
             m.maybe_ran = (call.sent, e.zone)
             self._later(self._repeat_by(m), m.dest, m.id)
         m.spent = m.spent or event.spent
-        if event.unproven and event.outcome is not Outcome.OK:
-            # Guards who hears of an end against a call behind it: its own answer has yet to come, perhaps.
-            m.ends_from = min(call.until, m.deadline - EDGE_MS)
         if event.finished or m.done:
             return self._finish(m, now)
         if event.no_slot or event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -166,6 +166,44 @@
     assert sends(driver, 2) + len(driver.of(api.Probe)) >= 1
 
 
+def test_an_order_key_settles_behind_a_refusal_that_may_be_another_calls() -> None:
+    """Guards the order of a key: a call whose refusal was doubted may still run, and the next one went."""
+    driver = started(line("a"), line("b"))
+    for number in (1, 2):
+        message(driver, number, ORDERED, key=7)
+    sent = driver.owed[1].attempts[0]
+    driver.feed(api.Settled(1, 0, sent.target, Outcome.FULL, 5.0, False, unproven=True))
+    driver.until(sent.until + driver.settings.order_settle_ms - 1)
+    assert sends(driver, 2) == 0
+    driver.until(sent.until + 10_000.0)
+    assert sends(driver, 2) == 1
+
+
+def test_a_message_that_is_spent_is_not_sent_again_and_ends_at_once_where_it_never_ran() -> None:
+    """Guards against bd4465: calls went on after a 504, or after an earlier life had read one."""
+    for spent in (False, True):
+        driver = started(line("a"))
+        driver.feed(api.NewMessage(1, CLASSES.index(SAFE), 1, 6000.0, attempts=int(spent), spent=spent))
+        if not spent:
+            target = driver.owed[1].attempts[0].target
+            driver.feed(api.Settled(1, 0, target, Outcome.MOOT, 5.0, False, spent=True))
+        assert [action.message for action in driver.of(api.Refuse)] == [1]
+        driver.until(6000.0)
+        assert sends(driver, 1) == (0 if spent else 1)
+
+
+def test_a_message_in_doubt_is_told_its_end_at_its_calls_time_out_and_in_time() -> None:
+    """Guards who hears of an end against a call behind it: its own answer had yet to come."""
+    driver = started(line("a"))
+    message(driver, 1, UNSAFE)
+    sent = driver.owed[1].attempts[0]
+    driver.feed(api.Settled(1, 0, sent.target, Outcome.FULL, 5.0, False, unproven=True))
+    driver.until(sent.until - 1.0)
+    assert not driver.of(api.Fail)
+    driver.until(sent.until + 1.0)
+    assert [action.message for action in driver.of(api.Fail)] == [1]
+
+
 def test_a_told_wait_holds_the_destination_for_every_message() -> None:
     driver = started(line("a"), line("b"))
     message(driver, 1)
