Have the soak's endpoints say 410 and 504, and judge every call behind one

Cause: the soak with repeated answers had endpoints that answer 200, 503 or nothing, so incident bd4465 could not show in it. Change: 6 in 100 calls are answered 410 or 504, then and from then on for that message; a message whose courier still listened as that was passed on, and was not killed within 100 ms of it, must not be called again; a message that is over needs no notice.

--- a/tests/answer_soak.py
+++ b/tests/answer_soak.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import re
 import sys
 from pathlib import Path
 from random import Random
 from typing import Optional
 
 from ashvale.lab.stand_ins import HERE, Endpoint
-from ashvale.loop import FOREVER, Address, Loop
+from ashvale.loop import FOREVER, Address
 from tests.fault_soak import Courier, Message, Run, main
 from tests.repeating import Copies, RepeatingRelay, When
 
@@ -24,9 +25,14 @@
 class RandomRelay(RepeatingRelay):
     """Repeats answers at random, each in its own way."""
 
-    def __init__(self, loop: Loop, target: Address, random: Random) -> None:
-        super().__init__(loop, target)
-        self.random = random
+    def __init__(self, run: RepeatingRun, target: Address, random: Random) -> None:
+        super().__init__(run.loop, target)
+        self.run, self.random = run, random
+
+    def heard(self, request: bytes, answer: bytes) -> None:
+        id = re.search(rb"(?i)\r\nrequest-id: *(\S+)\r\n", request)
+        if id is not None and answer[9:12] in (b"410", b"504"):
+            self.run.messages[id[1].decode()].heard.append(self.loop.now())
 
     def choose(self, place: int, chosen: int, answer: bytes) -> Optional[Copies]:
         random = self.random
@@ -53,6 +59,7 @@
 
     TOOK_MS = (40.0, 200.0)
     REFUSED = 0.15
+    FINAL = 0.06
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.relays: list[RandomRelay] = []
@@ -64,7 +71,7 @@
             courier.__class__ = QuietCourier
 
     def _relay(self, target: Address) -> RandomRelay:
-        relay = RandomRelay(self.loop, target, Random(self._draw.random()))
+        relay = RandomRelay(self, target, Random(self._draw.random()))
         self.relays.append(relay)
         return relay
 
@@ -73,7 +80,8 @@
         endpoint.dial = relay.dial
 
     def _ended(self, message: Message) -> float:
-        return min([*message.delivered, *(at for at, _ in message.told)], default=FOREVER)
+        over = message.heard if message.final == 410 else []
+        return min([*message.delivered, *over, *(at for at, _ in message.told)], default=FOREVER)
 
     def close(self) -> None:
         for relay in self.relays:
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -30,6 +30,7 @@
 ANSWER_MS = 2000.0  # a request without an answer for so long has none
 LATE_MS, AFTER_READY_MS = 300.0, 1500.0  # an end may come so late, and so long after a restart (PROTOCOL)
 READY_MS, END_MS = 10_000.0, 3700.0  # a start, and an end, take no longer
+READ_MS = 100.0  # a courier has read an answer within this
 DOWN_MS = 600.0  # a killed courier begins again after so long
 SOCKETS = 256
 ONCE = {"name": "once-only", "repeat": "side_effect", "objective_ms": 2000, "give_up_ms": 16000}
@@ -81,7 +82,7 @@
 
     id: str
     cls: str
-    body: bytes
+    body: bytes = field(repr=False)
     courier: int
     sent: float
     until: float
@@ -90,6 +91,9 @@
     ran: list[float] = field(default_factory=list)  # calls that may have run
     delivered: list[float] = field(default_factory=list)  # calls that were answered 200
     told: list[tuple[float, str]] = field(default_factory=list)
+    called: list[float] = field(default_factory=list)  # calls, whatever became of them
+    final: int = 0  # the status with which endpoints say that no further call is to be made
+    heard: list[float] = field(default_factory=list)  # when its courier was told that
 
     @property
     def end(self) -> float:
@@ -105,7 +109,12 @@
         self.usual = self._answer  # type: ignore[method-assign]
 
     def _answer(self, call: Call) -> bytes:
-        draw = self.random.random()
+        draw, message = self.random.random(), self.run.messages.get(call.headers.get("request-id", ""))
+        if message is not None and draw >= 1.0 - self.run.FINAL and not message.final:
+            message.final = self.random.choice((410, 504))
+        if message is not None and message.final:
+            self.run.called(call, False, False)
+            return answer(message.final)
         refused, dropped = draw < self.run.REFUSED, draw < self.run.REFUSED + 0.03
         self.run.called(call, not refused, not dropped)
         return answer(503) if refused else DROP if dropped else answer(200)  # type: ignore[return-value]
@@ -250,6 +259,7 @@
 
     TOOK_MS = (2.0, 30.0)  # an endpoint's work
     REFUSED = 0.03  # part of the calls that an endpoint refuses
+    FINAL = 0.0  # part of the calls that an endpoint answers with 410 or 504, then and from then on
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.seed, self.folder, self.loop = seed, folder, Loop()
@@ -289,6 +299,7 @@
         message = self.messages.get(call.headers.get("request-id", ""))
         if message is None or call.body != message.body:
             return self.broke(f"an endpoint got what no client sent: {call.headers} {call.body[:40]!r}")
+        message.called.append(self.loop.now())
         if may_run:
             message.ran.append(self.loop.now())
         if delivered:
@@ -429,6 +440,11 @@
                 self.broke(f"{message} ran again outside its window")
             if message.told and any(at > message.told[0][0] for at in message.ran):
                 self.broke(f"{message} ran after its end was told")
+            downs = self.couriers[message.courier].down
+            for at in message.heard:
+                unread = any(start - READ_MS <= at <= ready for start, ready in downs)
+                if not unread and any(again > at + READ_MS for again in message.called):
+                    self.broke(f"{message} was called again after {message.final}")
 
     def close(self) -> None:
         for courier in self.couriers:
--- a/tests/repeating.py
+++ b/tests/repeating.py
@@ -83,6 +83,9 @@
         again = place >= copies.first and chosen < copies.limit and copies.chosen(answer)
         return copies if again else None
 
+    def heard(self, request: bytes, answer: bytes) -> None:
+        """An endpoint's own answer to a request has been passed on to a courier that still listened."""
+
     def _serve(self, near: Connection) -> Coroutine[None]:
         far = yield from connect(self.loop, self.target, self.loop.now() + CONNECT_MS)
         link = _Link(self, near, far)
@@ -102,6 +105,7 @@
     def __init__(self, relay: RepeatingRelay, near: Connection, far: Connection) -> None:
         self.relay, self.near, self.far, self.loop = relay, near, far, relay.loop
         self.requested = self.answered = self.chosen = 0
+        self.out: list[bytes] = []  # requests that the endpoint has not answered
         self.due: list[tuple[int, bytes, Copies]] = []  # behind which request, the answer, and how
 
     def answers(self) -> Coroutine[None]:
@@ -109,7 +113,11 @@
         try:
             while answer := (yield from read_message(self.far)):
                 self.answered += 1
+                listens = self.near.quiet() and not self.near.stale
                 yield from self.near.send(answer, FOREVER)
+                request = self.out.pop(0)
+                if listens:
+                    self.relay.heard(request, answer)
                 if (copies := self.relay.choose(self.answered, self.chosen, answer)) is None:
                     continue
                 self.chosen += 1
@@ -133,6 +141,7 @@
         """What the courier says."""
         while request := (yield from read_message(self.near)):
             self.requested += 1
+            self.out.append(request)
             now = [(answer, copies) for number, answer, copies in self.due if number <= self.requested]
             self.due = [due for due in self.due if due[0] > self.requested]
             held = any(copies.when is When.UNDER_WAY for _, copies in now)
