Let an answer that forbids calls hold for every delivery that it may concern

Cause: the copy of a 200 was read for the message's answer, so its delivery was presumed; its connection carried the next call, which read the 504. The presumed delivery before it was taken back as one that may have run, without the word that no call may follow. Change: an answer that forbids calls and is bound to no call for sure is noted on its connection; each delivery that is taken back there is spent. So is one behind which the head of such an answer came and broke off. Evidence: test_a_final_answer_read_by_the_next_call_is_final_for_the_one_before, four cases failed before and pass now.

--- a/ashvale/net/answers.py
+++ b/ashvale/net/answers.py
@@ -17,6 +17,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from typing import Optional
 
 import h11
 
@@ -95,7 +96,7 @@
 
     def __init__(self) -> None:
         self._http = self._reader()
-        self._answer: Answer | None = None
+        self._answer: Optional[Answer] = None
         self.partial = False
         """True where bytes have come that make no whole answer yet."""
 
@@ -107,6 +108,11 @@
         http.send(h11.EndOfMessage())
         return http
 
+    @property
+    def head(self) -> Optional[Answer]:
+        """The answer whose head has come and whose rest has not."""
+        return self._answer
+
     def feed(self, data: bytes) -> Iterator[Answer]:
         """Take what has come; the answers that are whole with it. Raises `h11.RemoteProtocolError`."""
         if data:
--- a/ashvale/net/calls.py
+++ b/ashvale/net/calls.py
@@ -155,6 +155,8 @@
             yield from self._take_answer(client, attempt, reply)
         for entry in attempt.parts:
             wait, spent = wait_ms(reply.headers), _says_spent(attempt, entry, reply)
+            if client is not None and spent and not reply.proven:
+                client.final_unbound = True
             self.exchange.report(attempt, entry, outcome, wait, no_slot=later, spent=spent)
         if client is not None and reply.proven is False and client not in self.doubts:
             # Guards its messages against a second call beside the first, which may be out and ends here.
@@ -196,6 +198,7 @@
         reply.aligned, seen = client.history.certain, client.history.seen(reply.status)
         attempt.status, reply.proven = reply.status, client.history.read(reply.status, named)
         if not reply.proven:
+            client.final_unbound = client.final_unbound or reply.answer.verdict.spent
             _note_doubt(attempt, reply, seen)
         reply.presumed = not reply.proven and reply.status == DELIVERED and not attempt.named
         if reply.presumed:
@@ -229,11 +232,13 @@
         silent = surplus.end is End.SILENT and surplus.refusal is None
         if own is None and reply.presumed and silent and attempt.revocable:
             return self._doubt(client, attempt, reply)  # as sure as any delivery behind which nothing came
+        if any(answer.verdict.spent for answer in found.answers if answer is not own):
+            client.final_unbound = True
         self.doubts.settle(client, found.prior_stands if own is not None else False)
         reply.proven = own is not None
         if own is not None and not reply.presumed:
             reply.status, reply.headers = own.status, own.headers
-        spent = own is None and any(answer.verdict.spent for answer in found.answers)
+        spent = own is None and client.final_unbound
         self._settle(attempt, reply, spent)
         if reply.presumed:
             self._end_presumed(attempt.parts[0], own, spent)
--- a/ashvale/net/doubts.py
+++ b/ashvale/net/doubts.py
@@ -102,6 +102,8 @@
         found.end = End.LOST if reader.partial else End.SILENT
     except (Broken, h11.RemoteProtocolError):
         found.end = End.LOST
+    if reader.head is not None and reader.head.verdict.spent:
+        client.final_unbound = True
     return found
 
 
@@ -172,7 +174,8 @@
     def settle(self, client: HttpClient, stands: Optional[bool]) -> None:
         """The call on a lent connection is over: the deliveries before it stand, or may never have been.
 
-        None where nothing came that says so: those stand whose own answers had to come by now."""
+        None where nothing came that says so: those stand whose own answers had to come by now. An answer
+        that was read for the call may have been that of one before it, and forbids further calls of that."""
         if (chain := self._lent.pop(client, None)) is None:
             return
         if stands is None:
@@ -181,7 +184,7 @@
             if stands:
                 self.exchange.confirm(doubt.entry)
             else:
-                self.exchange.disprove(doubt.entry, Outcome.RESET)
+                self.exchange.disprove(doubt.entry, Outcome.RESET, spent=client.final_unbound)
 
     def halt(self) -> None:
         """End all of it with no word, as a kill would."""
@@ -215,7 +218,7 @@
         if surplus.refusal is not None:
             self._take_back(client, chain, surplus.refusal)
         for doubt in chain.doubts:
-            self.exchange.disprove(doubt.entry, Outcome.RESET)
+            self.exchange.disprove(doubt.entry, Outcome.RESET, spent=client.final_unbound)
         if chain.wanted and not chain.spoken and client.reusable:
             self._give_back(chain.endpoint, client)
         else:
--- a/ashvale/net/http_client.py
+++ b/ashvale/net/http_client.py
@@ -79,6 +79,7 @@
     def __init__(self, connection: Connection, address: Address) -> None:
         self.connection, self.host = connection, f"{address[0]}:{address[1]}"
         self.calls = 0  # written on this connection
+        self.final_unbound = False  # an answer that forbids further calls has come, and may be any call's
         self.history = AnswerHistory()
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
 
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -128,6 +128,22 @@
         check_ended(s, endpoint, ["m3"] if status == 504 else [], {"m1": 1, "m3": 1})
 
 
+@pytest.mark.parametrize("marks", [True, False])
+@pytest.mark.parametrize("status", FINAL)
+def test_a_final_answer_read_by_the_next_call_is_final_for_the_one_before(status: int, marks: bool) -> None:
+    """Guards against the soak's seed 712: a presumed delivery's own 504 came while the next call was out."""
+    with relayed(Copies(), 200, status) as (s, endpoint, relay):
+        endpoint.marks = marks
+        program = start(s, endpoint)
+        hand_in(program, "rate-update", "m1", TIMEOUT)
+        answered(s, endpoint, 2)
+        hand_in(program, "rate-update", "m2", TIMEOUT)
+        s.until(lambda: relay.repeated == 1)
+        s.rest(30.0)  # the copy has been read for m2's answer; the endpoint works on
+        hand_in(program, "rate-update", "m3", TIMEOUT)
+        check_ended(s, endpoint, ["m2"] if status == 504 else [], {"m1": 1, "m2": 1})
+
+
 @pytest.mark.parametrize("marks", [True, False])
 @pytest.mark.parametrize("status", FINAL)
 def test_a_final_answer_to_the_last_call_of_a_connection_is_final(status: int, marks: bool) -> None:
