End calls with notices together with what began them

Cause: calls that run beside each other outlived a courier that was halted, and were closed by the collector behind its loop ('I/O operation on closed epoll object', seen as two warnings of the whole suite). Change: the coroutine that begins them ends them.

--- a/ashvale/net/notices.py
+++ b/ashvale/net/notices.py
@@ -10,7 +10,7 @@
 
 from ashvale.exchange import RETURNED
 from ashvale.journal import Entry
-from ashvale.loop import FOREVER, Address, Broken, Coroutine, Expired, Loop, Signal
+from ashvale.loop import FOREVER, Address, Broken, Coroutine, Expired, Loop, Signal, Task
 from ashvale.net.http_client import Channel
 
 NOTICE_MS = 200.0  # the agent answers notices at once; what is late to be told counts as lost
@@ -33,6 +33,7 @@
         self.loop, self._address = loop, address
         self._waiting: dict[int, Entry] = {}  # by the entry's identity, the next to be told first
         self._calls: dict[int, Channel] = {}  # those out, by number
+        self._tasks: dict[int, Task] = {}  # likewise
         self._numbers = itertools.count()
         self._changed = Signal()
         self._next_at = 0.0  # no call begins before
@@ -53,18 +54,24 @@
 
     def run(self) -> Coroutine[None]:
         """Begin calls while anything is to be told: one, and another beside each that has no answer."""
-        while True:
-            now = self.loop.now()
-            if not self._waiting:
-                yield self._changed, FOREVER
-            elif len(self._calls) >= CALLS_MOST:
-                yield self._changed, FOREVER
-            elif now < self._next_at:
-                yield self._changed, self._next_at
-            else:
-                self._next_at = now + HEDGE_MS
-                lines = list(itertools.islice(self._waiting.values(), self._most))
-                self.loop.spawn(self._call(next(self._numbers), lines), "notice")
+        try:
+            while True:
+                if not self._waiting or len(self._tasks) >= CALLS_MOST:
+                    yield self._changed, FOREVER
+                elif self.loop.now() < self._next_at:
+                    yield self._changed, self._next_at
+                else:
+                    self._begin()
+        finally:
+            for task in list(self._tasks.values()):
+                task.cancel()
+
+    def _begin(self) -> None:
+        """Tell what has waited longest."""
+        self._next_at = self.loop.now() + HEDGE_MS
+        lines = list(itertools.islice(self._waiting.values(), self._most))
+        number = next(self._numbers)
+        self._tasks[number] = self.loop.spawn(self._call(number, lines), "notice")
 
     def _call(self, number: int, lines: list[Entry]) -> Coroutine[None]:
         """Tell some ends in one call."""
@@ -77,7 +84,7 @@
         except (Broken, Expired) as error:
             log.warning("notice not told", extra={"why": str(error)})
         finally:
-            del self._calls[number]
+            del self._calls[number], self._tasks[number]
         if status == TAKEN:
             self._taken(lines)
         else:
