--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -13,16 +13,15 @@
 
 from ashvale import interface as api
 from ashvale.interface import Effect, Outcome, Readiness
+from ashvale.pacing import OVERDUE, WINDOW_MS, failing, gate, overdue
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
 
-WINDOW_MS = 2000.0  # the ring's window: as long as the fixed spans that limits are commonly counted in
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
 SAMPLES, MARKS = 100, 8  # latencies kept for margin and usual time; outcomes kept for health
 CLEAN_WINDOWS = 8  # clean windows after which a learned ring is open again
 LEAST = (3.0, 0.35)  # N's floor: a share of so many calls, and this much of a listed part of many
 LOOSE = 2.0  # where many share a limit N starts so many roots of its part over it
 SPREAD_MS = (15.0, 500.0)  # returns after a refusal are spread: by each forwarder, and at most while N is one
-OVERDUE = 4.0  # a call is overdue after this multiple of the usual time
 PATIENCE = (6.0, 20.0)  # time-out of a first attempt and of an unsafe one, likewise
 TRIAL_MS = (80.0, 2000.0)  # least pause before a trial call: by each forwarder, and at most
 MISHAP_MS, LOSSY_MS = 2500.0, 10000.0  # shorter failures are no outage; nor are lost answers so long after
@@ -37,24 +36,6 @@
 RENEW_MS = 300.0  # first pause before a failed message is tried again; doubles. The list: three at most
 
 
-def gate(lane: Lane) -> float:
-    """Return when the ring lets the next call go."""
-    size = max(1 if lane.dry else lane.least, int(lane.n or 1.0))  # refused: no calls close together
-    if lane.n is None or len(lane.ring) < size:
-        return lane.blocked_until
-    return max(lane.blocked_until, lane.ring[-size] + WINDOW_MS * size / lane.n + lane.margin)
-
-
-def overdue(e: Endpoint, now: float) -> int:
-    """Count calls out far beyond the usual time with no sign of life since they were sent."""
-    return sum(e.ok_sent < c.sent < now - OVERDUE * e.lane.usual for c in e.calls)
-
-
-def failing(e: Endpoint) -> bool:
-    """Tell that most recent calls failed, so what comes back comes back cold."""
-    return len(e.marks) >= 4 and 2 * e.marks.count(False) > len(e.marks)
-
-
 class Controller:
     """The decisions of one forwarder. Deterministic: same events, times and seed give the same actions."""
 
@@ -282,16 +263,8 @@
 
     def _may_send(self, m: Message, e: Endpoint, now: float) -> bool:
         """The guard of every send: rules two, three, five and six for this message and endpoint."""
-        held = max(m.not_before, e.lane.blocked_until) > now or m.attempts >= self.s.max_attempts
-        if (
-            now >= self.closing_at
-            or held
-            or m.spent
-            or m.done
-            or m.out
-            or not e.ready
-            or now >= self._repeat_by(m)
-        ):
+        held = max(m.not_before, e.lane.blocked_until) > now or m.attempts >= self.s.max_attempts or m.spent
+        if now >= self.closing_at or held or m.done or m.out or not e.ready or now >= self._repeat_by(m):
             return False
         if m.maybe_ran and m.cls.effect is Effect.KEYED and m.cls.group != "all" and e.zone != m.maybe_ran[1]:
             return False
--- a/ashvale/trace/reasons.py
+++ b/ashvale/trace/reasons.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 
-from ashvale import control
+from ashvale import control, pacing
 from ashvale.control import Controller
 from ashvale.state import Endpoint
 from ashvale.trace.model import Reason
@@ -23,13 +23,13 @@
 
 def _health(controller: Controller, e: Endpoint, now: float) -> Step:
     """Until when health keeps calls from an endpoint, and why: as `Controller._opens`, without effect."""
-    late = control.overdue(e, now)
+    late = pacing.overdue(e, now)
     if e.out_since is not None:
         return e.trial_at, Reason.HELD_OUT
     if late >= 2:  # it will be, as soon as the Controller looks
         return now + controller.first_ms, Reason.HELD_OUT
     if len(e.calls) > late > 0:
-        look = e.calls[-1].sent + control.OVERDUE * e.lane.usual + 1.0
+        look = e.calls[-1].sent + pacing.OVERDUE * e.lane.usual + 1.0
         return look if look > now else FOREVER, Reason.OVERDUE
     grown = min(1.0, (now - e.ramp_from) / controller.s.warm_up_ms) if controller.s.warm_up_ms > 0 else 1.0
     return (e.last_sent + controller._pace(e, grown, now) if grown < 1.0 else 0.0), Reason.WARM_UP
@@ -49,7 +49,7 @@
         return [(FOREVER, Reason.CLOSING)]
     if not ready:
         return [(FOREVER, Reason.NO_ENDPOINT)]
-    opens = {id(e): max(control.gate(e.lane), _health(controller, e, now)[0]) for e in ready}
+    opens = {id(e): max(pacing.gate(e.lane), _health(controller, e, now)[0]) for e in ready}
     e = min(ready, key=lambda e: opens[id(e)])  # the one that lets a call go first
     steps: list[Step] = []
     at = now
@@ -80,7 +80,7 @@
     until, reason = _health(controller, e, now)
     if until > now:
         yield until, reason
-    if (gate := control.gate(e.lane)) > max(now, e.lane.blocked_until):
+    if (gate := pacing.gate(e.lane)) > max(now, e.lane.blocked_until):
         yield gate, Reason.RING
 
 
