--- a/ashvale/lab/stand_ins.py
+++ b/ashvale/lab/stand_ins.py
@@ -113,7 +113,7 @@
         self.loop, self.script, self.name, self.edges, self.took = loop, list(script), name, edges, took
         self.marks = True  # the last answer of a connection says that it is
         self.ends = True  # a connection ends where the courier asks for that
-        self.breaks = True  # an answer that is not whole ends its connection
+        self.breaks = False  # an answer whose body is not whole ends its connection
         self.calls: list[Call] = []
         self.connections = self.out = self.most_out = 0
         self.listener = Listener(loop, (HERE, 0), self._serve, 100, "endpoint")
@@ -145,19 +145,19 @@
             if last and self.marks:
                 data = data.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
             yield from connection.send(data, FOREVER)
-            if isinstance(action, bytes) and self._is_cut(action):
-                if not self.breaks:
-                    yield Signal(), FOREVER
+            if isinstance(action, bytes) and b"\r\n\r\n" not in action:
+                return  # an answer that breaks off
+            if isinstance(action, bytes) and self.breaks and self._is_cut(action):
                 return
             if last:
                 return
 
     @staticmethod
     def _is_cut(action: bytes) -> bool:
-        """Whether an answer breaks off, within its head or its body."""
-        head, end, body = action.partition(b"\r\n\r\n")
+        """Whether an answer breaks off within its body."""
+        head, _, body = action.partition(b"\r\n\r\n")
         length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
-        return not end or (length is not None and len(body) < int(length[1]))
+        return length is not None and len(body) < int(length[1])
 
     def _works(self, connection: Connection, part: list[int], until: float) -> Coroutine[None]:
         """A call takes its time, also when the courier has let go of it; that it has is noted at once."""
