Hear a wait in each answer that comes for a connection's last call, at once

What callers would see: calls within a told wait. Cause: what comes behind an unmarked answer to a last call is read until the call's time-out; a wait in it was heard then, or never where no answer was marked. Change: each answer's wait binds as it is read. Evidence: test_a_wait_behind_an_unmarked_last_answer_binds_at_once failed before (the next call came 9 ms later), passes now.

--- a/ashvale/net/calls.py
+++ b/ashvale/net/calls.py
@@ -218,7 +218,7 @@
         surplus = Surplus()
         if not first.ends_connection:
             surplus = yield from read_surplus(
-                client, attempt.until, stops=lambda found: found.ends_connection
+                client, attempt.until, lambda found: self._hear_last(attempt, found)
             )
         found = LastAnswers([first, *surplus.answers])
         own = found.marked
@@ -243,6 +243,12 @@
         if reply.presumed:
             self._end_presumed(attempt.parts[0], own, spent)
 
+    def _hear_last(self, attempt: Attempt, found: Answer) -> bool:
+        """Whether an answer is marked as the last; a wait that it tells binds, whoever's answer it is."""
+        if (wait := wait_ms(found.headers)) > 0:
+            self.exchange.hear_wait_in_head(attempt, wait)
+        return found.ends_connection
+
     def _end_presumed(self, entry: Entry, own: Optional[Answer], spent: bool) -> None:
         """Say what became of a delivery that was presumed, by the call's own answer, if that is known."""
         if own is None:
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -232,3 +232,28 @@
         s.until(lambda: all(calls(endpoint, id) for id in ids), TIMEOUT_MS)
         s.rest(AGAIN_MS)
         assert {id: calls(endpoint, id) for id in ids} == dict.fromkeys(ids, 1)
+
+
+def test_a_wait_behind_an_unmarked_last_answer_binds_at_once() -> None:
+    """Guards told waits: the own 429 of a last call came behind a copy, and was heard at its time-out."""
+    with relayed(Copies(lag=2), 200, 200, 429) as (s, endpoint, relay):
+        endpoint.marks = endpoint.ends = False
+        scripted = endpoint.usual
+
+        def waits(call: Call) -> bytes:
+            data = scripted(call)
+            return data.replace(b"\r\n", b"\r\nX-Come-Back-Ms: 2000\r\n", 1) if data[9:12] == b"429" else data
+
+        endpoint.usual = waits  # type: ignore[method-assign]
+        program = start(s, endpoint)
+        for number in (1, 2):
+            hand_in(program, "rate-update", f"m{number}", TIMEOUT)
+            answered(s, endpoint, 1 + number)
+        hand_in(program, "rate-update", "m3", TIMEOUT)
+        s.until(lambda: relay.repeated == 1)
+        answered(s, endpoint, 4)
+        assert endpoint.given[-1] == ("m3", 429)
+        told_at, known = s.loop.now(), len(endpoint.calls)
+        hand_in(program, "rate-update", "m4", TIMEOUT)
+        s.until(lambda: len(endpoint.calls) > known)
+        assert s.loop.now() - told_at >= 1900.0
