Log when an endpoint is held to be out, to warm up or to be well, and by which call

Change: the decision module says HealthChanged on each change, with the call's outcome and how long the health before lasted; the exchange logs it as 'endpoint health'. Decisions stay as they were.

--- a/ashvale/adapter.py
+++ b/ashvale/adapter.py
@@ -5,6 +5,7 @@
 import sys
 from typing import BinaryIO
 
+from ashvale import interface as api
 from ashvale import wire
 from ashvale.control import Controller
 
@@ -38,7 +39,11 @@
                 self._instances[inst] = Controller(event.settings, event.seed)
                 return
             actions = self._instances[inst].handle(event, now)  # type: ignore[arg-type]
-            records.extend(wire.encode_action(inst, action) for action in actions)
+            records.extend(
+                wire.encode_action(inst, action)
+                for action in actions
+                if not isinstance(action, api.HealthChanged)
+            )
         except Exception as error:  # an instance's fault is reported, the others go on
             records.append(wire.encode_fault(inst, f"{type(error).__name__}: {error}"))
 
--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -13,7 +13,7 @@
 
 from ashvale import interface as api
 from ashvale.interface import Effect, Outcome, Readiness
-from ashvale.pacing import OVERDUE, WINDOW_MS, failing, gate, overdue
+from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RAMP_SHARE, SPARE, WINDOW_MS, failing, gate, overdue
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
 
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
@@ -24,12 +24,9 @@
 SPREAD_MS = (15.0, 500.0)  # returns after a refusal are spread: by each forwarder, and at most while N is one
 PATIENCE = (6.0, 20.0)  # time-out of a first attempt and of an unsafe one, likewise
 TRIAL_MS = (80.0, 2000.0)  # least pause before a trial call: by each forwarder, and at most
-MISHAP_MS, LOSSY_MS = 2500.0, 10000.0  # shorter failures are no outage; nor are lost answers so long after
-RAMP_SHARE = (0.9, 0.3)  # part of the permitted fail-back load that is used; so much less of it by many
-SPARE = 1.5  # what a destination can do, over its usual traffic, at the least
 LOW, RISE = 0.5, 0.4  # under this share of its listed part N doubles; under one less, in vast fleets
-LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
 LANE_SHARE = 0.75  # part of the slots that one lane may hold
+LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
 RATE_MS = 20000.0  # span over which the usual traffic of a destination is counted
 EDGE_MS, REPEAT_MS = 80.0, 150.0  # left of its time when a message is answered, of its window to a repeat
 ADVICE_MS = 1000.0  # when to come back with a message that was given up
@@ -301,7 +298,7 @@
         """Return when health lets the next call go to this endpoint; past times mean now."""
         late = overdue(e, now)
         if e.out_since is None and late >= 2:
-            self._went_out(e, now, e.calls[0].sent, self.many)
+            self._went_out(e, now, e.calls[0].sent, self.many, Outcome.TIMEOUT)
         if e.out_since is not None or e.rests_until > now:
             return max(e.rests_until, e.trial_at if e.out_since is not None else 0.0)
         if len(e.calls) > late > 0:  # wait for what is out, until all of it is overdue
@@ -454,7 +451,7 @@
             self.crowded |= {e.kind} if e.unconnected else set()  # until it proves to be an outage
             # Guards against calls lost at random, or very long: one that a later call overtook is no sign.
             if call.sent > e.ok_sent and not lossy or failing(e):
-                self._went_out(e, now, call.sent, 0.0 if call.lost else self.many)
+                self._went_out(e, now, call.sent, 0.0 if call.lost else self.many, outcome)
 
     def _told(self, lane: Lane, total: float) -> None:
         """A told limit is the total of all forwarders: N starts at a part, and looser where many share it."""
@@ -496,7 +493,7 @@
         at = now + (wait + 1.0 if wait > 0 else WINDOW_MS / 5) + spread * self.random.random()
         lane.blocked_until = max(lane.blocked_until, at)
         for other in lane.endpoints if wait > 2 * WINDOW_MS else ():
-            self._went_out(other, now, sent, self.many)
+            self._went_out(other, now, sent, self.many, Outcome.FULL)
             self._next_trial(other, now + wait)
 
     def _no_table(self, e: Endpoint, call: Call, now: float) -> None:
@@ -510,13 +507,14 @@
         pause = min(SPREAD_MS[1], e.lane.usual * 2.0 ** min(e.crowds - 1, 3))
         e.rests_until = now + pause * self.random.uniform(0.5, 1.5)
 
-    def _went_out(self, e: Endpoint, now: float, since: float, many: float) -> None:
+    def _went_out(self, e: Endpoint, now: float, since: float, many: float, outcome: Outcome) -> None:
         """Hold the endpoint to fail, from when the failed call was sent: only trials until one succeeds."""
         if e.out_since is None:
             # Guards fail-back: who calls rarely cannot know how long it had failed before the call at hand.
             since = min(since, max(e.ok_sent, now - many * self.s.warm_up_ms))
             e.out_since = since if now - e.ramp_from > self.s.warm_up_ms else now - MISHAP_MS
             e.trial_at, e.ramp_from = now + self.first_ms, -1e12
+            self.actions += [api.HealthChanged(e.target, e.dest, api.Health.OUT, outcome, now - e.out_since)]
             if many:
                 self._next_trial(e, now)
             kin = [x for x in e.lane.endpoints if many and x.ok_sent <= since]  # two out: it is the partner
@@ -537,6 +535,9 @@
         """A success ends the failing spell; after an outage the load returns in steps (rule four)."""
         e.marks.append(True)
         if e.out_since is not None:
+            lasted = now - e.out_since
+            health = api.Health.WARMING if lasted >= MISHAP_MS or failing(e) else api.Health.WELL
+            self.actions.append(api.HealthChanged(e.target, e.dest, health, Outcome.OK, lasted))
             e.lossy_until = now + LOSSY_MS if now - e.out_since < MISHAP_MS else e.lossy_until
             e.ramp_from = now if now - e.out_since >= MISHAP_MS or failing(e) else e.ramp_from
             self.crowded -= {e.kind} if e.unconnected and now - e.out_since >= 2 * MISHAP_MS else set()
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -941,6 +941,23 @@
                 self.carriers[endpoint.carrier].close_idle(endpoint.name)
         elif isinstance(action, api.Log):
             log.info(action.text)
+        elif isinstance(action, api.HealthChanged):
+            self._log_health(action)
+
+    def _log_health(self, changed: api.HealthChanged) -> None:
+        """Say what an endpoint is held to be, by which call, and what it was before for how long."""
+        name = changed.target.decode()
+        endpoint = self.endpoints.get(name)
+        log.info(
+            "endpoint health",
+            extra={
+                "dest": endpoint.dest if endpoint is not None else "",
+                "endpoint": name,
+                "health": changed.health.value,
+                "outcome": changed.outcome.value,
+                "after_ms": round(changed.for_ms),
+            },
+        )
 
     def _join(self, action: api.Send, now: float, sends: dict[str, list[Attempt]]) -> None:
         """Messages that leave in one turn for one endpoint share a call, as many as its kind allows."""
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -335,7 +335,29 @@
     text: str
 
 
-Action = Union[Send, Refuse, Fail, Cancel, Wake, Probe, CloseIdle, Subscribe, Log]
+class Health(Enum):
+    """What a forwarder holds a destination, or one endpoint of it, to be."""
+
+    OUT = "out"
+    """Calls fail: only trials go."""
+    WARMING = "warming"
+    """A call has succeeded after an outage: what is sent grows slowly."""
+    WELL = "well"
+
+
+@dataclass(frozen=True)
+class HealthChanged:
+    """The health of an endpoint is held to be another from now on. For logs: nothing is to be done."""
+
+    target: Target
+    destination: int
+    health: Health
+    outcome: Outcome  # of the call that told it
+    for_ms: float  # how long the health before lasted, as far as is known
+
+
+WireAction = Union[Send, Refuse, Fail, Cancel, Wake, Probe, CloseIdle, Subscribe, Log]
+Action = Union[WireAction, HealthChanged]
 
 
 class CallLimits(Protocol):
--- a/ashvale/wire.py
+++ b/ashvale/wire.py
@@ -225,7 +225,7 @@
     return _record(74, struct.pack("<HH", inst, len(data)) + data)
 
 
-def encode_action(inst: int, action: api.Action) -> bytes:
+def encode_action(inst: int, action: api.WireAction) -> bytes:
     """Encode one action of one instance."""
     pack = struct.pack
     if isinstance(action, api.Send):
