Give tenants' shares a module of their own

Cause: the decision module holds a bucket for each tenant as tuples, beside what it decides. Change: ashvale/tenants.py owns them, with named fields; decisions stay.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -15,6 +15,7 @@
 from ashvale.interface import Effect, Outcome, Readiness
 from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RAMP_SHARE, SPARE, WINDOW_MS, failing, gate, overdue
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
+from ashvale.tenants import TenantShares
 
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
 SAMPLES, MARKS = 100, 8  # latencies kept for margin and usual time; outcomes kept for health
@@ -50,7 +51,7 @@
         self.crowded: set[api.Kind] = set()  # kinds of destination whose connection tables were seen full
         self.calls_out, self.held, self.count, self.token, self.wake_at, self.calm_at = 0, 0, 0, 0, 1e18, 0.0
         self.renew_at = 0.0 if settings.must_subscribe else 1e18
-        self.spent, self.closing_at = [(0.0, 0.0)] * len(settings.tenants), 1e18
+        self.shares, self.closing_at = TenantShares(settings), 1e18
         self._count_forwarders(settings.forwarders)
         self.limits: api.CallLimits = api.Unlimited()  # an operator's
 
@@ -86,9 +87,8 @@
 
     def _configured(self, settings: api.Settings) -> None:
         """Go on with other settings; all that was learned of destinations stays."""
-        known = {t.name: spent for t, spent in zip(self.s.tenants, self.spent, strict=True)}
         self.s, kinds = settings, {kind.name: kind for kind in settings.kinds}
-        self.spent = [known.get(t.name, (0.0, 0.0)) for t in settings.tenants]
+        self.shares.configure(settings)
         self._count_forwarders(settings.forwarders)
         for e in self.endpoints.values():
             e.kind, self.dirty[e.dest] = kinds.get(e.kind.name, e.kind), None
@@ -164,7 +164,8 @@
 
     def _accept(self, event: api.NewMessage, now: float) -> None:
         cls, key = self.s.classes[event.message_class], event.order_key
-        worth, aim = cls.worth * self._weight(event, now), event.deadline - cls.deadline_ms + cls.aim_ms
+        worth = cls.worth * self.shares.weigh(event.tenant, now)
+        aim = event.deadline - cls.deadline_ms + cls.aim_ms
         m = Message(event.message, cls.in_order and key, event.destination, cls, worth, aim, event.deadline)
         self.dests[m.dest].queue.append(m)
         self.dests[m.dest].arrivals.append(now)
@@ -182,16 +183,6 @@
         if self.held >= self.s.max_open and not m.kept:  # make room for the next message
             self._give_up_least(self.messages.values(), now)
 
-    def _weight(self, event: api.NewMessage, now: float) -> float:
-        """Weigh what a tenant sends beyond this forwarder's part of its share: a bucket of two seconds."""
-        tenants = self.s.tenants[event.tenant : event.tenant + 1]
-        if (rate := sum(t.quota_per_s for t in tenants) / self.s.forwarders) <= 0:
-            return 1.0
-        level = max(0.0, self.spent[event.tenant][0] - rate * (now - self.spent[event.tenant][1]) / 1000.0)
-        over = level > 2 * rate + 1
-        self.spent[event.tenant] = (level if over else level + 1, now)
-        return self.s.over_share_worth if over else 1.0
-
     def _may_refuse(self, m: Message) -> bool:  # rule two for refusals: another try does no harm
         keyed = m.cls.effect is Effect.KEYED and m.cls.group == "all"
         return keyed or m.cls.effect is Effect.SAFE or not (m.maybe_ran or m.out)
