Keep what fails, and what comes back, to one slow start, whatever sign told the trouble

Cause: whether couriers held back hung on how the trouble was told, and was kept for each endpoint. A refusal with no wait or a short one held nothing out and was followed by no ramp; a lost answer was paced as if the courier were alone; each further endpoint, and each new one, brought calls of its own; a list that replaced all endpoints, a delivery taken back and a restart forgot the outage.

Change: ashvale/slow_start.py keeps one Recovery for a destination (or route apart): failures in a row, since when, and when the next call may go over all its endpoints. Every failure counts alike. One failure has the next call wait as long as the destination may have been out, 5 s in the mean at most, unless another endpoint may tell at once; from the second in a row on, trials keep the cold pace; the first success begins the ramp, half way up where one failure alone was known. It outlasts the endpoints; NewMessage.failed says that an attempt of an earlier life, or one whose delivery was taken back, failed. Up to four couriers nothing changes, as each sees enough.

Why it works: the rule is broken only if over two thirds of the calls came from couriers that knew, and their sum now stays under two thirds of the budget whatever they were told.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -13,7 +13,8 @@
 
 from ashvale import interface as api
 from ashvale.interface import Effect, Outcome, Readiness
-from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RAMP_SHARE, SPARE, WINDOW_MS, failing, gate, overdue
+from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RATE_MS, WINDOW_MS, failing, gate, overdue
+from ashvale.slow_start import SlowStart
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
 from ashvale.tenants import TenantShares
 
@@ -28,7 +29,6 @@
 LOW, RISE = 0.5, 0.4  # under this share of its listed part N doubles; under one less, in vast fleets
 LANE_SHARE = 0.75  # part of the slots that one lane may hold
 LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
-RATE_MS = 20000.0  # span over which the usual traffic of a destination is counted
 EDGE_MS, REPEAT_MS = 80.0, 150.0  # left of its time when a message is answered, of its window to a repeat
 ADVICE_MS = 1000.0  # when to come back with a message that was given up
 RENEW_MS = 300.0  # first pause before a failed message is tried again; doubles. The list: three at most
@@ -52,6 +52,7 @@
         self.calls_out, self.held, self.count, self.token, self.wake_at, self.calm_at = 0, 0, 0, 0, 1e18, 0.0
         self.renew_at = 0.0 if settings.must_subscribe else 1e18
         self.shares, self.closing_at = TenantShares(settings), 1e18
+        self.slow_start = SlowStart(settings, self.random)
         self._count_forwarders(settings.forwarders)
         self.limits: api.CallLimits = api.Unlimited()  # an operator's
 
@@ -69,6 +70,7 @@
         elif isinstance(event, api.Probed) and (e := self.endpoints.get(event.target)):
             e.probing, self.dirty[e.dest] = False, None
             self._told(e.lane, event.report.get("x1", 0.0))
+            self.slow_start.settled(Call(e, e.last_sent), self.dests[e.dest], event.outcome, now)
             if event.outcome is Outcome.OK:
                 self._came_back(e, now)
         elif isinstance(event, (api.Withdrawn, api.Started)) and event.message in self.messages:
@@ -94,6 +96,7 @@
             e.kind, self.dirty[e.dest] = kinds.get(e.kind.name, e.kind), None
 
     def _count_forwarders(self, count: int) -> None:  # the more, the less a refusal says of one's own sends
+        self.slow_start.configure(self.s)
         self.first_ms, self.least = min(TRIAL_MS[1], TRIAL_MS[0] * count), min(1.0, LEAST[0] / count)
         self.many, self.vast = (max(0.0, 1.0 - few / count) for few in (4.0, 20.0))
 
@@ -152,6 +155,8 @@
         lane.least = 1 + int(2.5 * self.many)  # guards one of many against waiting for turns that nobody uses
         if new and not kind.routes_apart:  # guards a told wait against a list that changes all endpoints
             lane.blocked_until = dest.blocked_until
+        if not kind.routes_apart:
+            lane.recovery = dest.recovery
         fee = fees[line.zone] if line.zone < len(fees) else 0.0
         e = Endpoint(line.target, line.zone, line.destination, kind, fee, lane, deque(maxlen=MARKS))
         self.endpoints[line.target] = e
@@ -177,6 +182,8 @@
         m.spent = event.spent
         m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)  # in an earlier life
         self._later(self._repeat_by(m), m.dest, m.id)
+        if event.failed:
+            self.slow_start.taken_back(self.dests[m.dest], now)
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
         self._expire(m, now, self.limits.line(m.id, now))
         self._thin(m.dest, now)
@@ -274,27 +281,23 @@
         return False
 
     def _pace(self, e: Endpoint, grown: float, now: float) -> float:
-        """Return the pause between calls to a cold endpoint: by the own part of a limit, or of traffic."""
-        seen = max(1, self.dests[e.dest].arrived_since(now - RATE_MS)) / RATE_MS
-        own = SPARE * (1.0 + 3.0 / self.s.forwarders) * seen
-        rate = e.lane.total / 1000.0 / self.s.forwarders or own  # calls a millisecond
-        # Many leave more unused, as chance adds to what all send; and few of them hold a message for it.
-        used = RAMP_SHARE[0] - RAMP_SHARE[1] * self.many
-        longest = max((c.deadline_ms for c in self.s.classes), default=0.0)
-        held: float = 1.0 - self.many * 4.0 ** (-rate * longest)
-        share = self.s.cold_share + (1 - self.s.cold_share) * grown
-        return len(e.lane.endpoints) * held / (used * self.s.overload_factor * rate * share)
+        """Return the pause between calls to a cold endpoint."""
+        return len(e.lane.endpoints) * self.slow_start.pace(e.lane, self.dests[e.dest], grown, now)
 
     def _opens(self, e: Endpoint, now: float) -> float:
         """Return when health lets the next call go to this endpoint; past times mean now."""
+        return max(self._endpoint_opens(e, now), self.slow_start.opens(e.lane.recovery, now))
+
+    def _endpoint_opens(self, e: Endpoint, now: float) -> float:
         late = overdue(e, now)
         if e.out_since is None and late >= 2:
             self._went_out(e, now, e.calls[0].sent, self.many, Outcome.TIMEOUT)
         if e.out_since is not None or e.rests_until > now:
-            return max(e.rests_until, e.trial_at if e.out_since is not None else 0.0)
+            out = e.out_since is not None and not self.slow_start.out(e.lane.recovery, now)
+            return max(e.rests_until, e.trial_at if out else 0.0)
         if len(e.calls) > late > 0:  # wait for what is out, until all of it is overdue
             return look if (look := e.calls[-1].sent + OVERDUE * e.lane.usual + 1.0) > now else 1e18
-        grown = min(1.0, (now - e.ramp_from) / self.s.warm_up_ms)
+        grown = 1.0 if self.many else min(1.0, (now - e.ramp_from) / self.s.warm_up_ms)
         return e.last_sent + self._pace(e, grown, now) if grown < 1.0 else 0.0
 
     def _dispatch(self, now: float) -> None:
@@ -317,10 +320,13 @@
         for e in (e for e in dest.endpoints if e.ready and dest.queue):
             opens = max(gate(e.lane), self._opens(e, now))
             # Guards unsafe messages against waiting for ever: only they wait, and no trial would be safe.
-            trial = not e.probing and now >= max(e.trial_at, e.lane.blocked_until)
+            starts = self.slow_start.opens(e.lane.recovery, now)
+            out = self.slow_start.out(e.lane.recovery, now)
+            trial = not e.probing and now >= max(0.0 if out else e.trial_at, e.lane.blocked_until, starts)
             if self.s.may_probe and trial and (e.out_since is not None or overdue(e, now)):
                 e.probing, e.last_sent = True, now
                 self._next_trial(e, now)
+                self.slow_start.went(e, self.dests[e.dest], now)
                 self.actions.append(api.Probe(e.target))
             due = opens if now < opens < due else due
         if due < dest.look_at and due < 1e17:
@@ -365,6 +371,7 @@
             self.calls_out, e.last_sent = self.calls_out + 1, now
             if e.out_since is not None:
                 self._next_trial(e, now)
+            self.slow_start.went(e, self.dests[e.dest], now)
         call = e.calls[-1]
         call.members += 1
         self.attempts[(m.id, m.attempts)] = call
@@ -416,6 +423,7 @@
 
     def _learn(self, e: Endpoint, call: Call, event: api.Settled, now: float) -> None:
         lane, outcome = e.lane, event.outcome
+        self.slow_start.settled(call, self.dests[e.dest], outcome, now, event.wait_ms)
         self._told(lane, event.report.get("x1", 0.0))
         if event.wait_ms > 0 and outcome is not Outcome.FULL:  # told beside another outcome it binds as well
             lane.blocked_until = max(lane.blocked_until, now + event.wait_ms + 1.0)
@@ -515,8 +523,7 @@
     def _next_trial(self, e: Endpoint, now: float) -> None:
         """Set when the next trial or probe may go, of all endpoints that share the limit."""
         # Guards what returns against trials of many: their pauses grow with the outage, and add up to a part.
-        bears = RAMP_SHARE[0] * self.s.overload_factor * self.s.cold_share * SPARE
-        pause = 1e18 if self.many else (now - (e.out_since or now)) / bears
+        pause = 1e18 if self.many else (now - (e.out_since or now)) / self.slow_start.cold_part
         pause = max(self.first_ms, min(pause, self._pace(e, 0.0, now) / len(e.lane.endpoints)))
         at = now + pause * self.random.uniform(*((0.0, 2.0) if self.many else (0.5, 1.5)))
         for kin in e.lane.endpoints:
@@ -534,5 +541,4 @@
             self.crowded -= {e.kind} if e.unconnected and now - e.out_since >= 2 * MISHAP_MS else set()
             for kin in [x for x in e.lane.endpoints if self.many and x.ok_sent < e.out_since and x is not e]:
                 kin.out_since, kin.ramp_from = None, e.ramp_from
-                kin.last_sent = now - self.random.random() * self._pace(kin, 0.0, now)
         e.out_since, e.unconnected = None, False
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -472,7 +472,8 @@
             self._held_back[entry.number] = entry
             self.loop.call_at(self.local(entry.deadline) - HELD_BACK_MS, lambda: self._end_held_back(entry))
             return
-        self._post(self._new(entry))
+        ended_badly = entry.resumed and entry.attempts > (entry.ran_at is not None)
+        self._post(self._new(entry, failed=ended_badly))
 
     @property
     def _alone(self) -> bool:
@@ -493,7 +494,8 @@
         if not self.halted and self._held_back.pop(entry.number, None) is not None:
             self._decide(entry, RETURNED, REFUSED_MS)
 
-    def _new(self, entry: Entry) -> api.NewMessage:
+    def _new(self, entry: Entry, failed: bool = False) -> api.NewMessage:
+        """`failed`: so did the last attempt, though its end was told otherwise, or to an earlier process."""
         ran_at = None if entry.ran_at is None else self.local(entry.ran_at)
         return api.NewMessage(
             entry.number,
@@ -508,6 +510,7 @@
             entry.ran_zone,
             entry.resumed and not entry.attempts,
             entry.spent,
+            failed,
         )
 
     def withdraw(self, entry: Entry) -> None:
@@ -759,7 +762,7 @@
         if wait_ms > 0:
             self.hear_wait_in_head(presumed.attempt, wait_ms)
         if entry.cls in self._classes:
-            self._post(self._new(entry))
+            self._post(self._new(entry, failed=True))
         else:
             self._decide(entry, FAILED)
 
--- a/ashvale/interface.py
+++ b/ashvale/interface.py
@@ -171,6 +171,7 @@
     ran_zone: int = 0
     kept: bool = False  # taken on in an earlier life, which never tried it
     spent: bool = False  # an endpoint has said that no further attempt is to be made
+    failed: bool = False  # the last of its attempts, as is known now
 
 
 @dataclass(frozen=True)
--- a/ashvale/lab/outages.py
+++ b/ashvale/lab/outages.py
@@ -194,7 +194,9 @@
             """The exchange hands a delivery that was none in again, with the attempts made."""
             if self.couriers[number] is controller:
                 left = self.now + self.deadline_ms / 2.0
-                again = api.NewMessage(send.message, 0, 1, left, attempts=attempt + 1, ran_at=self.now)
+                again = api.NewMessage(
+                    send.message, 0, 1, left, attempts=attempt + 1, ran_at=self.now, failed=True
+                )
                 self._tell(number, again)
 
         self._later(took, ends)
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -50,6 +50,7 @@
     members: int = 0
     until: float = NEVER  # its own answer is awaited until then
     lost: bool = False  # its answer never came, though it was written
+    failed: bool = False  # it has failed, or was refused
 
 
 @dataclass(eq=False)
@@ -78,6 +79,18 @@
     unconnected: bool = False  # the last failure was a connection that did not come about
 
 
+@dataclass(eq=False)
+class Recovery:
+    """What is known of a destination's failures, over all of its endpoints."""
+
+    failures: int = 0  # in a row, with no success between
+    failing_since: float = NEVER  # when they may have begun
+    last_ok: float = NEVER  # send time of the last call that succeeded
+    warm_from: float = NEVER  # when it last came back from an outage
+    opens_at: float = NEVER  # nothing goes before
+    before: tuple[int, float] = field(default=(0, NEVER))  # failures and their begin before the last success
+
+
 @dataclass(eq=False)
 class Lane:
     """Pacing for what shares one limit: a destination, or a route where routes are apart."""
@@ -94,6 +107,7 @@
     blocked_until: float = 0.0
     grown_at: float = 0.0
     refused_at: float = NEVER
+    recovery: Recovery = field(default_factory=Recovery)
 
     def sends_since(self, at: float) -> int:
         """Count the recent calls sent after `at`."""
@@ -109,6 +123,7 @@
     arrivals: deque[float] = field(default_factory=lambda: deque(maxlen=64))
     look_at: float = 1e18  # when it is to be looked at again
     blocked_until: float = 0.0  # told by endpoints that are gone
+    recovery: Recovery = field(default_factory=Recovery)  # but of routes apart, which have one each
 
     def shut_until(self) -> float:
         """Until when no endpoint lets anything go, whatever happens; past times mean now."""
--- a/ashvale/trace/reasons.py
+++ b/ashvale/trace/reasons.py
@@ -23,15 +23,23 @@
 
 def _health(controller: Controller, e: Endpoint, now: float) -> Step:
     """Until when health keeps calls from an endpoint, and why: as `Controller._opens`, without effect."""
+    starts = controller.slow_start.opens(e.lane.recovery, now)
+    reason = Reason.HELD_OUT if e.lane.recovery.failures else Reason.WARM_UP
+    return max(_endpoint_health(controller, e, now), (starts, reason), key=lambda step: step[0])
+
+
+def _endpoint_health(controller: Controller, e: Endpoint, now: float) -> Step:
     late = pacing.overdue(e, now)
     if e.out_since is not None:
-        return e.trial_at, Reason.HELD_OUT
+        out = controller.slow_start.out(e.lane.recovery, now)
+        return 0.0 if out else e.trial_at, Reason.HELD_OUT
     if late >= 2:  # it will be, as soon as the Controller looks
         return now + controller.first_ms, Reason.HELD_OUT
     if len(e.calls) > late > 0:
         look = e.calls[-1].sent + pacing.OVERDUE * e.lane.usual + 1.0
         return look if look > now else FOREVER, Reason.OVERDUE
-    grown = min(1.0, (now - e.ramp_from) / controller.s.warm_up_ms) if controller.s.warm_up_ms > 0 else 1.0
+    paced = controller.s.warm_up_ms > 0 and not controller.many
+    grown = min(1.0, (now - e.ramp_from) / controller.s.warm_up_ms) if paced else 1.0
     return (e.last_sent + controller._pace(e, grown, now) if grown < 1.0 else 0.0), Reason.WARM_UP
 
 
