--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -108,6 +108,10 @@
         super().__init__(loop, took=lambda: 1.0 if partner.out else 40.0)
         self.partner, self.breaks = partner, True
         self.usual = self._answer  # type: ignore[method-assign]
+        if partner.case.sign is Sign.REFUSED:  # it listens again, at a port that nobody is given meanwhile
+            self.listener.close()
+            self.listener = Listener(loop, (HERE, free_ports(1)[0]), self._serve, 100, "endpoint")
+            self.dial = f"{HERE}:{self.listener.address[1]}"
 
     def _answer(self, call: Call) -> bytes:
         """What a stand-in does with the call: bytes to send, or what else becomes of it."""
