--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -214,7 +214,7 @@
         yield from sleep(self.loop, self.began + since_start_ms - self.loop.now())
 
     def _clients(self, partner: Partner) -> Coroutine[None]:
-        """Hand messages in at couriers drawn evenly; all couriers know the partner before the outage."""
+        """Hand messages in at couriers drawn evenly; more in the outage, where the case says so."""
         random = Random(self.random.random())
         while True:
             more = partner.case.backlog if partner.out else 1.0
