--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,11 +17,15 @@
 def held(folder: Path) -> tuple[int, dict[str, int]]:
     """What the folder holds, 'each file counted in whole 512 bytes'."""
     files: dict[str, int] = {}
+    seen: set[int] = set()
     for path in folder.iterdir():
         try:
-            files[path.name] = -(-path.stat().st_size // 512) * 512
+            stat = path.stat()
         except FileNotFoundError:
             continue
+        if stat.st_ino not in seen:  # one that is renamed while it is looked at counts once
+            files[path.name] = -(-stat.st_size // 512) * 512
+        seen.add(stat.st_ino)
     return sum(files.values()), files
 
 
