--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -14,8 +14,9 @@
 from typing import TYPE_CHECKING, Optional
 
 from ashvale import config
+from ashvale.disk import Disk
 from ashvale.exchange import Exchange, Siblings
-from ashvale.journal import Disk, Journal
+from ashvale.journal import Journal
 from ashvale.loop import FOREVER, Coroutine, Loop, Task, lasting
 from ashvale.net.calls import Pool
 from ashvale.net.discovery import Discovery
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -4,43 +4,48 @@
 becomes of a message, never write beyond its share of the disk, and never fail on what an ended process left:
 a torn end is cut off, whatever came before it counts.
 
-A record is a kind, a length, a checksum and a payload. `TAKEN` holds an entry whole; the others name an entry
-by number. Where a message is traced, what its trace needs after a restart stands behind what the record holds
-anyway, so that tracing costs no write of its own. Rewriting puts the live entries into a new file that then
-takes the old one's name, so the room for
-both is kept free. Times in the file are wall-clock milliseconds, since no other clock survives a restart.
+Rewriting puts the live entries into a new file that then takes the old one's name, so the room for both is
+kept free. What the records hold: `ashvale/journal_records.py`.
 """
 
 from __future__ import annotations
 
 import errno
-import fcntl
-import json
 import logging
-import os
 import struct
 import time
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, Optional
-
-from ashvale.descriptors import close_descriptor
+from typing import Optional
+
+from ashvale.disk import Disk
+from ashvale.journal_records import (
+    DECIDED,
+    DECIDED_FORM,
+    ENDED,
+    ENDED_FORM,
+    FRAME_HEAD,
+    HISTORY_MOST,
+    NAME_MOST,
+    OUTCOME,
+    OUTCOME_FORM,
+    SPENT,
+    SPENT_FORM,
+    STARTED,
+    STARTED_FORM,
+    TAKEN,
+    TRACED_FORM,
+    Entry,
+    frame,
+    replay,
+    reserve,
+    snapshot,
+)
 from ashvale.log import failed_calls
 
-_HEAD = struct.Struct("<BII")  # kind, length, checksum
-_STARTED = struct.Struct("<QdH")  # number, time, zone
-_OUTCOME = struct.Struct("<Q?")  # number, proven not to have run
-_DECIDED = struct.Struct("<Qdd")  # number, advice, keep until; then the state's name
-_ENDED = struct.Struct("<Q")
-_TRACED = struct.Struct("<dBf")  # behind an outcome, where traced: time, its number, told wait
-_SPENT = struct.Struct("<Q")
-TAKEN, STARTED, OUTCOME, DECIDED, ENDED, SPENT = range(1, 7)
-
-RESERVE = 640  # room kept for what is still to be written about an entry: eight attempts and its end
-TRACED_RESERVE = 1280  # and for what a traced message's history adds to that
-NAME_MOST, HISTORY_MOST = 60, 24  # bytes of an endpoint's name in the history, and its lines
+__all__ = ["Entry", "Full", "Journal"]
+
 _BLOCK = 512  # files are counted in whole blocks
 REWRITE_LARGE = 64 * 1024  # bytes from which a file takes long enough to hold service up
 REWRITE_AGAIN_MS = 100.0  # pause before such a file is written again that could not be
@@ -56,142 +61,6 @@
     """There is no room for another message."""
 
 
-@dataclass(eq=False)
-class Entry:
-    """One message as the journal knows it."""
-
-    number: int
-    id: str
-    front: str
-    cls: str
-    dest: str
-    tenant: str
-    key: str
-    deadline: float
-    body: bytes
-    retried: bool = False
-    envelope: str = ""  # what a front needs to know besides; the exchange passes it on
-    attempts: int = 0
-    out_since: Optional[float] = None  # an attempt is out since
-    out_zone: int = 0
-    ran_at: Optional[float] = None  # send time of the first attempt that may have run
-    ran_zone: int = 0
-    state: str = ""  # how it ended, once that is decided
-    after_ms: float = 0.0
-    keep_until: float = 0.0  # the outcome is remembered until then
-    sends: int = 0  # attempts that the module has decided on, begun or not
-    order: str = ""  # its order key; empty where its class keeps no order
-    taken: float = 0.0  # and when it was taken on
-    resumed: bool = False  # an earlier life of the process took it on
-    spent: bool = False  # an endpoint has said that no further attempt is to be made
-    trace: str = ""  # the message's place in a trace; empty where it is not traced
-    # Of a traced message: each attempt's begin, endpoint, outcome (by number), end and told wait; and with
-    # no endpoint, from when to when no process was there.
-    history: list[list[Any]] = field(default_factory=list)
-
-    _KEPT = (
-        "number",
-        "id",
-        "front",
-        "cls",
-        "dest",
-        "tenant",
-        "key",
-        "deadline",
-        "retried",
-        "envelope",
-        "attempts",
-        "out_since",
-        "out_zone",
-        "ran_at",
-        "ran_zone",
-        "state",
-        "after_ms",
-        "keep_until",
-    )
-
-    def pack(self) -> bytes:
-        kept = self._KEPT + (("trace", "history") if self.trace else ())
-        kept += ("order", "taken") if self.order else ()
-        head = json.dumps({name: getattr(self, name) for name in kept}, separators=(",", ":")).encode()
-        return struct.pack("<I", len(head)) + head + self.body
-
-    @classmethod
-    def unpack(cls, data: bytes) -> Entry:
-        (size,) = struct.unpack_from("<I", data)
-        fields: dict[str, Any] = json.loads(data[4 : 4 + size])
-        return cls(body=data[4 + size :], **fields)
-
-    def started(self, at: float, zone: int, endpoint: str = "") -> None:
-        if self.out_since is not None:  # guards the rule on repeats where an outcome could not be written
-            self.outcome(False)
-        self.attempts, self.out_since, self.out_zone = self.attempts + 1, at, zone
-        if self.trace and len(self.history) < HISTORY_MOST:
-            self.history.append([at, endpoint, 0, at, 0.0])
-
-    def outcome(self, never_ran: bool, at: float = 0.0, number: int = 0, told: float = 0.0) -> None:
-        if not never_ran and self.ran_at is None:
-            self.ran_at, self.ran_zone = self.out_since, self.out_zone
-        if number and self.history and self.history[-1][0] == self.out_since:
-            self.history[-1][2:] = number, at, told
-        self.out_since = None
-
-
-class Disk:
-    """The file system; what stands in for it has the same calls. All may raise `OSError`."""
-
-    def read(self, path: Path) -> tuple[bytes, Optional[float]]:
-        """A file's content, and when it was last written (wall-clock seconds); none where there is none."""
-        try:
-            return path.read_bytes(), path.stat().st_mtime
-        except FileNotFoundError:
-            return b"", None
-
-    def create(self, path: Path) -> int:
-        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-
-    def write(self, file: int, data: memoryview) -> int:
-        return os.write(file, data)
-
-    def truncate(self, file: int, size: int) -> None:
-        os.ftruncate(file, size)
-
-    def replace(self, old: Path, new: Path) -> None:
-        os.replace(old, new)
-
-    def remove(self, path: Path) -> None:
-        path.unlink(missing_ok=True)
-
-    def __init__(self) -> None:
-        self._locks: dict[Path, int] = {}  # the descriptors that hold locks; closing one would let go
-
-    def lock(self, path: Path) -> bool:
-        """Hold a lock on `path` until `unlock` or the process' end; False where another holder has it.
-
-        It is `flock`: it belongs to the open file, so that no other close in this process lets go of it, and
-        the kernel frees it when the process ends, a kill included. Any other failure raises `OSError`: guards
-        the journal against two writers that each believe it theirs, as on a full descriptor table or a
-        read-only folder. ENOSYS alone says that a platform has no locks, and so no second process either.
-        """
-        file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-        try:
-            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as error:
-            self.close(file)
-            if error.errno not in (errno.EWOULDBLOCK, errno.ENOSYS):
-                raise
-            return error.errno == errno.ENOSYS
-        self._locks[path] = file
-        return True
-
-    def unlock(self, path: Path) -> None:
-        if (file := self._locks.pop(path, None)) is not None:
-            self.close(file)
-
-    def close(self, file: int) -> None:
-        close_descriptor(file)
-
-
 class Journal:
     """The file and its live entries.
 
@@ -330,8 +199,8 @@
     def take(self, entry: Entry) -> None:
         """Write down a message and number it, or raise `Full`."""
         entry.number = self._next
-        record = _frame(TAKEN, entry.pack())
-        if 2 * (self._live + len(record) + _reserve(entry)) > self._budget:
+        record = frame(TAKEN, entry.pack())
+        if 2 * (self._live + len(record) + reserve(entry)) > self._budget:
             raise Full(f"the journal holds {len(self.entries)} messages and has room for no more")
         self._append(record)
         self._next += 1
@@ -343,8 +212,8 @@
         And where it begins, for messages that are traced.
         """
         name = endpoint.encode()[:NAME_MOST]
-        heads = ((_STARTED.pack(entry.number, at, zone), entry.trace) for entry in entries)
-        self._append(b"".join(_frame(STARTED, head + name if traced else head) for head, traced in heads))
+        heads = ((STARTED_FORM.pack(entry.number, at, zone), entry.trace) for entry in entries)
+        self._append(b"".join(frame(STARTED, head + name if traced else head) for head, traced in heads))
         for entry in entries:
             entry.started(at, zone, name.decode("utf-8", "ignore"))
 
@@ -355,26 +224,26 @@
 
         Like `decided` and `ended` it counts at once; `Full` says that the file learns of it later.
         """
-        more = _TRACED.pack(at, number, told) if entry.trace else b""
+        more = TRACED_FORM.pack(at, number, told) if entry.trace else b""
         entry.outcome(never_ran, at, number if entry.trace else 0, told)
-        self._append_or_keep(_frame(OUTCOME, _OUTCOME.pack(entry.number, never_ran) + more))
+        self._append_or_keep(frame(OUTCOME, OUTCOME_FORM.pack(entry.number, never_ran) + more))
 
     def spent(self, entry: Entry) -> None:
         """Write down that no further attempt may be made for a message; like `outcome` it counts at once."""
         entry.spent = True
-        self._append_or_keep(_frame(SPENT, _SPENT.pack(entry.number)))
+        self._append_or_keep(frame(SPENT, SPENT_FORM.pack(entry.number)))
 
     def decided(self, entry: Entry, state: str, after_ms: float, keep_until: float = 0.0) -> None:
         """Write down how a message ends, before anybody is told."""
         entry.state, entry.after_ms, entry.keep_until = state, after_ms, keep_until
-        head = _DECIDED.pack(entry.number, after_ms, keep_until)
-        self._append_or_keep(_frame(DECIDED, head + state.encode()))
+        head = DECIDED_FORM.pack(entry.number, after_ms, keep_until)
+        self._append_or_keep(frame(DECIDED, head + state.encode()))
 
     def ended(self, entry: Entry) -> None:
         """Nothing more is owed for a message, nor remembered of it."""
         if self.entries.pop(entry.number, None):
             self._live -= self._sizes.pop(entry.number)
-            self._append_or_keep(_frame(ENDED, _ENDED.pack(entry.number)))
+            self._append_or_keep(frame(ENDED, ENDED_FORM.pack(entry.number)))
 
     @property
     def behind(self) -> bool:
@@ -397,8 +266,8 @@
 
     def _add(self, entry: Entry, size: int) -> None:
         self.entries[entry.number] = entry
-        self._sizes[entry.number] = size + _reserve(entry)
-        self._live += size + _reserve(entry)
+        self._sizes[entry.number] = size + reserve(entry)
+        self._live += size + reserve(entry)
 
     def _append(self, data: bytes) -> None:
         """Append whole records, behind those that the file still lacks; or nothing, and raise `Full`."""
@@ -464,7 +333,7 @@
             self._rewrite_after = self._clock() + REWRITE_AGAIN_MS
         file = self._disk.create(self._new)
         try:
-            data = b"".join(map(_snapshot, self.entries.values()))
+            data = b"".join(map(snapshot, self.entries.values()))
             size = self._write_all(file, data)
         except OSError:
             self._disk.close(file)
@@ -498,16 +367,16 @@
         left = (written or 0.0) * 1000.0
         entries: dict[int, tuple[Entry, int]] = {}
         at = 0
-        while at + _HEAD.size <= len(data):
-            kind, size, check = _HEAD.unpack_from(data, at)
-            payload = data[at + _HEAD.size : at + _HEAD.size + size]
+        while at + FRAME_HEAD.size <= len(data):
+            kind, size, check = FRAME_HEAD.unpack_from(data, at)
+            payload = data[at + FRAME_HEAD.size : at + FRAME_HEAD.size + size]
             if len(payload) != size or zlib.crc32(payload) != check:
                 break
             try:
-                _replay(entries, kind, payload)
+                replay(entries, kind, payload)
             except (KeyError, TypeError, ValueError, struct.error) as error:  # whole, and not understood
                 log.error("journal record not read", extra={"at": at, "kind": kind, "why": str(error)})
-            at += _HEAD.size + size
+            at += FRAME_HEAD.size + size
         if at < len(data):  # guards a restart against a record that the end of the process cut short
             log.warning("journal cut short", extra={"kept": at, "dropped": len(data) - at})
         for entry, _ in entries.values():
@@ -532,41 +401,3 @@
         self._leave_file()
         for lock in (self._lock, self._aside_lock):
             self._disk.unlock(lock)
-
-
-def _replay(entries: dict[int, tuple[Entry, int]], kind: int, payload: bytes) -> None:
-    """Apply one record to the entries read so far, by number, each with the size of its `TAKEN` record."""
-    if kind == TAKEN:
-        entry = Entry.unpack(payload)
-        entries[entry.number] = entry, len(payload) + _HEAD.size
-        return
-    found, _ = entries.get(int.from_bytes(payload[:8], "little"), (None, 0))
-    if found is None:
-        return
-    if kind == STARTED:
-        _, begun, zone = _STARTED.unpack_from(payload)
-        found.started(begun, zone, payload[_STARTED.size :].decode("utf-8", "ignore"))
-    elif kind == OUTCOME:
-        more = _TRACED.unpack_from(payload, _OUTCOME.size) if len(payload) > _OUTCOME.size else ()
-        found.outcome(_OUTCOME.unpack_from(payload)[1], *more)
-    elif kind == SPENT:
-        found.spent = True
-    elif kind == DECIDED:
-        _, found.after_ms, found.keep_until = _DECIDED.unpack_from(payload)
-        found.state = payload[_DECIDED.size :].decode()
-    elif kind == ENDED:
-        del entries[found.number]
-
-
-def _snapshot(entry: Entry) -> bytes:
-    """The records that stand for an entry in a new file."""
-    taken = _frame(TAKEN, entry.pack())
-    return taken + _frame(SPENT, _SPENT.pack(entry.number)) if entry.spent else taken
-
-
-def _reserve(entry: Entry) -> int:
-    return RESERVE + TRACED_RESERVE if entry.trace else RESERVE
-
-
-def _frame(kind: int, payload: bytes) -> bytes:
-    return _HEAD.pack(kind, len(payload), zlib.crc32(payload)) + payload
--- a/ashvale/lab/disk.py
+++ b/ashvale/lab/disk.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Optional
 
-from ashvale.journal import Disk
+from ashvale.disk import Disk
 
 SHORT, FULL, NO_RENAME, KILL, TORN = "short", "full", "no rename", "kill", "torn"
 FAULTS = (SHORT, FULL, NO_RENAME, KILL, TORN)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ashvale import journal
+from ashvale import disk
 from ashvale.journal import Entry, Full, Journal
 
 ROOM = 400_000
@@ -98,14 +98,14 @@
 ) -> None:
     """Guards the disk limit, at which the courier would be taken for crashed; and counts across a rewrite."""
     seen = [0]
-    real = journal.os.replace
+    real = disk.os.replace
 
     def replace(new: Path, old: Path) -> None:
         if old.exists():
             seen.append(new.stat().st_size + old.stat().st_size)
         real(new, old)
 
-    monkeypatch.setattr(journal.os, "replace", replace)
+    monkeypatch.setattr(disk.os, "replace", replace)
     kept = Journal(tmp_path, ROOM)
     stays = entry("stays")
     kept.take(stays)
@@ -142,16 +142,16 @@
     """Guards what follows: behind half a record nothing would be read any more."""
     kept = Journal(tmp_path, ROOM)
     kept.take(entry("1"))
-    real = journal.os.write
+    real = disk.os.write
 
     def failing(file: int, data: bytes) -> int:
         real(file, bytes(data)[:7])
         raise OSError(28, "no space left")
 
-    monkeypatch.setattr(journal.os, "write", failing)
+    monkeypatch.setattr(disk.os, "write", failing)
     with pytest.raises(Full):
         kept.take(entry("2"))
-    monkeypatch.setattr(journal.os, "write", real)
+    monkeypatch.setattr(disk.os, "write", real)
     kept.take(entry("3"))
     assert [e.id for e in again(kept, tmp_path).entries.values()] == ["1", "3"]
 
@@ -175,12 +175,12 @@
     def fails(*_: object) -> int:
         raise OSError(error, "no")
 
-    monkeypatch.setattr(journal.os if name == "open" else journal.fcntl, name, fails)
+    monkeypatch.setattr(disk.os if name == "open" else disk.fcntl, name, fails)
     if told == "raises":
         with pytest.raises(OSError):
-            journal.Disk().lock(tmp_path / "lock")
+            disk.Disk().lock(tmp_path / "lock")
     else:
-        assert journal.Disk().lock(tmp_path / "lock") is (told == "alone")
+        assert disk.Disk().lock(tmp_path / "lock") is (told == "alone")
 
 
 def test_a_lock_outlasts_other_closes_of_its_file_and_is_asked_for_again(
@@ -193,7 +193,7 @@
     assert new.waiting and owner.succeeded and not new.adopt()
     owner.close()
     with monkeypatch.context() as patch:
-        patch.setattr(journal.os, "open", lambda *_: (_ for _ in ()).throw(OSError(errno.EMFILE, "full")))
+        patch.setattr(disk.os, "open", lambda *_: (_ for _ in ()).throw(OSError(errno.EMFILE, "full")))
         assert not new.adopt() and new.waiting
     new.adopt()
     assert not new.waiting and not new.succeeded
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from ashvale.journal import Disk, Entry, Full, Journal
+from ashvale.disk import Disk
+from ashvale.journal import Entry, Full, Journal
 
 ROOM = 400_000
 
@@ -242,12 +243,12 @@
 
 def test_a_whole_record_that_is_not_understood_costs_only_itself(tmp_path: Path) -> None:
     """Guards a start against a record of another version."""
-    from ashvale.journal import TAKEN, _frame
+    from ashvale.journal_records import TAKEN, frame
 
     first = Journal(tmp_path, ROOM)
     first.take(entry("one"))
     with (tmp_path / "journal").open("ab") as file:
-        file.write(_frame(TAKEN, b"\xff\xff\xff\xff{}") + _frame(2, b"x"))
+        file.write(frame(TAKEN, b"\xff\xff\xff\xff{}") + frame(2, b"x"))
     first.take(entry("two"))
     first.close()
     assert [each.id for each in Journal(tmp_path, ROOM).entries.values()] == ["one", "two"]
