--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -53,6 +53,7 @@
         self._banned: dict[str, frozenset[str]] = {}
         self.tracer: Optional[Recorder] = None
         self.leaving = self._reading = self._succeeded = False
+        self._left = False  # service clients are told to go to another process, or to another courier
         self._doubts_end = FOREVER
         self._again: Optional[Mapping[str, str]] = None
         self.tasks: list[Task] = []
@@ -86,6 +87,7 @@
             self.exchange.hear_wait,
         )
         self.exchange.tell_wait = self.waits.tell
+        self._divide_disk()
         self.exchange.resume()
         self._door(told)
         if told.platform is not None and told.platform.operator is not None and self.server is not None:
@@ -170,6 +172,12 @@
         self.exchange.resume(taken)
         log.info("journal adopted", extra={"entries": len(taken)})
 
+    def _divide_disk(self) -> None:
+        """Keep to this process's part of the disk while another one of this courier runs."""
+        if not self.exchange.halted:
+            self.loop.call_at(self.loop.now() + self.waits.every, self._divide_disk)
+            self.exchange.journal.divide(self._left)
+
     def _trace(self, told: config.Config) -> None:
         """Follow what the operator's file says of tracing; what it needs is loaded only where it is on."""
         tracer, self.tracer, self.exchange.tracer = self.tracer, None, None
@@ -380,6 +388,7 @@
                 connection.close()
 
     def _handed_over(self) -> None:
+        self._left = True
         for front in (self.server, self.mail):
             if front is not None:
                 front.leave()
--- a/ashvale/disk.py
+++ b/ashvale/disk.py
@@ -24,9 +24,25 @@
     def create(self, path: Path) -> int:
         return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
 
+    def size(self, path: Path) -> int:
+        """A file's size in bytes; 0 where there is none."""
+        try:
+            return path.stat().st_size
+        except FileNotFoundError:
+            return 0
+
     def write(self, file: int, data: memoryview) -> int:
         return os.write(file, data)
 
+    def write_all(self, file: int, data: bytes) -> None:
+        """Write in as many calls as it takes."""
+        view = memoryview(data)
+        while view:
+            taken = self.write(file, view)
+            if not taken:
+                raise OSError(errno.ENOSPC, "nothing was taken")
+            view = view[taken:]
+
     def truncate(self, file: int, size: int) -> None:
         os.ftruncate(file, size)
 
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -20,6 +20,7 @@
 from typing import Optional
 
 from ashvale.disk import Disk
+from ashvale.disk_share import DiskShare, share_of_older, share_unless_told
 from ashvale.journal_records import (
     DECIDED,
     DECIDED_FORM,
@@ -86,6 +87,8 @@
         self._disk = disk or Disk()
         self._main, self._aside = folder / "journal", folder / "journal.next"
         self._lock, self._aside_lock = folder / "journal.lock", folder / "journal.next.lock"
+        self._share = DiskShare(self._disk, folder)
+        self._whole = self._budget = 0
         self.limit(room)
         self.entries: dict[int, Entry] = {}
         self._sizes: dict[int, int] = {}
@@ -122,6 +125,9 @@
                 raise Full("two other processes write the journal's folder")
             time.sleep(0.01)  # guards a start against the moment in which the other one looks for us
         self._path = self._aside if self.waiting else self._main
+        if self.waiting:
+            self._share.clear()
+            self._budget = self._newcomers_share()
         for entry, size in self._load(self._path):
             self._next = max(self._next, entry.number + 1)
             self._add(entry, size)
@@ -174,6 +180,7 @@
             self._disk.unlock(self._lock)
             return []
         self.waiting, self._joined, self._path = False, self._path, self._main
+        self._budget = self._whole
         self._leave_file()
         try:
             self._make_ready()
@@ -190,9 +197,50 @@
             self._add(entry, size)
         return [entry for entry, _ in taken]
 
+    # The room
+
     def limit(self, room: int) -> None:
-        """Keep within so many bytes of the disk."""
-        self._budget = room - _MARGIN - 2 * _BLOCK
+        """Keep within so many bytes of the disk, together with a process beside this one."""
+        whole = room - _MARGIN - 2 * _BLOCK
+        self._budget, self._whole = self._budget + whole - self._whole, whole
+
+    def divide(self, leaving: bool = False) -> None:
+        """Find out whether another process writes beside this one, and what of the disk is this one's.
+
+        To be called at intervals. `leaving`: this process takes on no more, and gives up all that it can.
+        """
+        if self._closed:
+            return
+        try:
+            if self.waiting:
+                self._budget = self._newcomers_share()
+            elif self._beside():
+                self._yield_room(leaving)
+            elif self._joined is None:
+                # What a newcomer that has ended left stays there, and goes into one file with ours later.
+                self._budget = max(self._budget, self._whole - 2 * self._disk.size(self._aside))
+        except OSError as error:  # it is asked again
+            failed_calls.note("journal.share", error)
+
+    def _yield_room(self, leaving: bool) -> None:
+        """Keep to a share of the disk, then tell it to the newcomer; may raise `OSError`."""
+        share = share_of_older(self._whole, self._budget, self._live, leaving)
+        if share < self._budget:
+            if self._size + self._live > share:
+                self._rewrite()
+            self._budget = share
+        if self._share.told() != self._budget:
+            self._share.tell(self._budget)
+
+    def _newcomers_share(self) -> int:
+        """What the older process leaves to this one; may raise `OSError`."""
+        if (told := self._share.told()) is not None:
+            return self._whole - told
+        return share_unless_told(self._whole, self._disk.size(self._main))
+
+    def _fits(self, size: int) -> bool:
+        """Whether that much more may be owed: all of it has to fit twice, as a rewrite has two files."""
+        return 2 * (self._live + size) <= self._budget
 
     # What is written
 
@@ -200,7 +248,10 @@
         """Write down a message and number it, or raise `Full`."""
         entry.number = self._next
         record = frame(TAKEN, entry.pack())
-        if 2 * (self._live + len(record) + reserve(entry)) > self._budget:
+        wanted = len(record) + reserve(entry)
+        if self.waiting and not self._fits(wanted):
+            self.divide()  # the older process may have given room back since
+        if not self._fits(wanted):
             raise Full(f"the journal holds {len(self.entries)} messages and has room for no more")
         self._append(record)
         self._next += 1
@@ -278,7 +329,7 @@
             self._room(sum(map(len, self._unwritten)) + len(data))
             data = b"".join([*self._unwritten, data])
             self._torn = True
-            self._write_all(self._file, data)
+            self._disk.write_all(self._file, data)
         except OSError as error:
             self._cut_off()
             raise Full(f"the journal cannot be written: {error}") from error
@@ -334,7 +385,7 @@
         file = self._disk.create(self._new)
         try:
             data = b"".join(map(snapshot, self.entries.values()))
-            size = self._write_all(file, data)
+            self._disk.write_all(file, data)
         except OSError:
             self._disk.close(file)
             self._remove_new()
@@ -345,7 +396,7 @@
         except OSError:
             self._disk.close(file)
             raise
-        self._file, self._size, self._torn, self._unwritten = file, size, False, []
+        self._file, self._size, self._torn, self._unwritten = file, len(data), False, []
         self._rewrite_after = 0.0
 
     def _remove_new(self) -> None:
@@ -386,15 +437,6 @@
                 entry.history.append([left, "", 0, self._now, 0.0])
         return list(entries.values())
 
-    def _write_all(self, file: int, data: bytes) -> int:
-        view = memoryview(data)
-        while view:
-            taken = self._disk.write(file, view)
-            if not taken:
-                raise OSError(errno.ENOSPC, "nothing was taken")
-            view = view[taken:]
-        return len(data)
-
     def close(self) -> None:
         """Let go of the file and the locks, as the process' end would; nothing is written any more."""
         self._closed = True
--- a/ashvale/lab/disk.py
+++ b/ashvale/lab/disk.py
@@ -55,6 +55,9 @@
         found = self.files.get(path.name)
         return (b"", None) if found is None else (bytes(found), 0.0)
 
+    def size(self, path: Path) -> int:
+        return len(self.files.get(path.name, b""))
+
     def create(self, path: Path) -> int:
         self._next += 1
         number = self._next
--- /dev/null
+++ b/tests/test_upgrade_disk.py
@@ -0,0 +1,112 @@
+"""Two processes of one courier on one folder, as in an upgrade: the disk that both may fill together."""
+
+from __future__ import annotations
+
+import itertools
+from pathlib import Path
+
+import pytest
+
+from ashvale import config
+from ashvale.courier import Courier
+from ashvale.disk import Disk
+from ashvale.exchange import Command, Refusal
+from ashvale.journal import Entry, Full, Journal
+from ashvale.lab.stand_ins import HERE
+from tests.stage import Scene, scene
+
+DISK_MB = 1.0
+BODY = b"x" * 6000
+
+
+class MeasuredDisk(Disk):
+    """Notes what the folder held at the most, each file counted in whole 512 bytes."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__()
+        self.folder, self.most = folder, 0
+
+    def write(self, file: int, data: memoryview) -> int:
+        taken = super().write(file, data)
+        sizes = [path.stat().st_size for path in self.folder.iterdir() if path.name != "config.json"]
+        self.most = max(self.most, sum(-(-size // 512) * 512 for size in sizes))
+        return taken
+
+
+def start(s: Scene, disk: Disk) -> Courier:
+    """Another courier on the scene's folder, which has written its configuration already."""
+    return Courier(config.load(s.told), s.loop, disk)
+
+
+def hand(courier: Courier, id: str) -> bool:
+    """Whether a message was taken on."""
+    until = courier.loop.now() + 9000.0
+    command = Command(id, "platform", "rate-update", "1", "home", "", until, BODY)
+    return not isinstance(courier.exchange.take(command), Refusal)
+
+
+def test_two_processes_of_an_upgrade_stay_within_the_disk_together() -> None:
+    """Guards review case 3: each process filled the whole disk limit, beside the other one's file."""
+    with scene(disk_mb=DISK_MB) as s:
+        s.environ["LB_OPERATOR"] = f"{HERE}:0"
+        endpoint = s.endpoint()
+        s.start().halt()
+        disk = MeasuredDisk(s.folder)
+        old = s.courier = start(s, disk)
+        s.until(lambda: old.exchange.listed)
+        ids, taken = (f"m{number}" for number in itertools.count()), list[str]()
+
+        def load(couriers: list[Courier], rounds: int) -> None:
+            for courier in couriers * rounds:
+                id = next(ids)
+                taken.extend([id] if hand(courier, id) else [])
+                s.until(lambda: len(endpoint.calls) >= len(taken) - 6)
+
+        load([old], 120)
+        new = start(s, disk)
+        s.at_end.append(lambda: (old.halt(), new.halt()))
+        s.until(lambda: new.exchange.listed)
+        s.until(lambda: (s.folder / "journal.share").exists())
+        load([old, new], 80)
+        old.leave()
+        load([new], 20)
+        s.until(lambda: old.exchange.idle and new.exchange.idle)
+        old.halt()
+        s.until(lambda: not new.exchange.journal.waiting)
+        load([new], 120)
+        s.until(lambda: len(endpoint.calls) == len(taken))
+        assert len(taken) > 360 and disk.most <= DISK_MB * 1_000_000
+
+
+def entry(id: str, size: int) -> Entry:
+    return Entry(0, id, "platform", "rate-update", "1", "home", "", 9e12, b"x" * size)
+
+
+@pytest.mark.parametrize("held", [0, 8, 25])
+def test_the_newcomer_may_use_what_the_older_process_does_not_need(tmp_path: Path, held: int) -> None:
+    """Guards review case 3's disk limit where the older process owes much, and service where it does not."""
+    disk, room = MeasuredDisk(tmp_path), 400_000
+    old = Journal(tmp_path, room, disk=disk)
+    for number in range(held):
+        old.take(entry(f"held{number}", 6000))
+    for number in range(200):  # what has ended still takes room in the file
+        passing = entry(f"passing{number}", 500)
+        old.take(passing)
+        old.ended(passing)
+    new = Journal(tmp_path, room, disk=disk)
+    old.divide()
+    refused = 0
+    for number in range(300):
+        passing = entry(f"new{number}", 2000)
+        try:
+            new.take(passing)
+            new.ended(passing)
+        except Full:
+            refused += 1
+            for over in list(old.entries.values())[:1]:
+                old.ended(over)
+            old.divide(leaving=True)
+    assert disk.most <= room and refused <= held
+    old.close()
+    new.adopt()
+    assert not new.waiting and disk.most <= room
