Let no call sent before a destination shut end its outage

Cause: a call taken before it shut ended well behind the refusal, and any success ended the outage; nothing goes during the wait, so the load came back with no ramp. SlowStart had the same fault for many couriers. Change: Recovery.shut_sent; successes of calls sent up to then say nothing. The other process of an upgrade hears a long wait as an outage.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -13,7 +13,8 @@
 
 from ashvale import interface as api
 from ashvale.interface import Effect, Outcome, Readiness
-from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RATE_MS, WINDOW_MS, failing, gate, overdue
+from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RATE_MS, SHUT_MS, WINDOW_MS, failing, gate, overdue
+from ashvale.repeats import may_refuse, repeat_by
 from ashvale.slow_start import SlowStart
 from ashvale.state import Call, Destination, Endpoint, Lane, Message
 from ashvale.tenants import TenantShares
@@ -29,7 +30,7 @@
 LOW, RISE = 0.5, 0.4  # under this share of its listed part N doubles; under one less, in vast fleets
 LANE_SHARE = 0.75  # part of the slots that one lane may hold
 LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
-EDGE_MS, REPEAT_MS = 80.0, 150.0  # left of its time when a message is answered, of its window to a repeat
+EDGE_MS = 80.0  # left of its time when a message is answered
 ADVICE_MS = 1000.0  # when to come back with a message that was given up
 RENEW_MS = 300.0  # first pause before a failed message is tried again; doubles. The list: three at most
 
@@ -72,7 +73,7 @@
             self._told(e.lane, event.report.get("x1", 0.0))
             self.slow_start.settled(Call(e, e.last_sent), self.dests[e.dest], event.outcome, now)
             if event.outcome is Outcome.OK:
-                self._came_back(e, now)
+                self._succeeded(e, e.last_sent, now)
         elif isinstance(event, (api.Withdrawn, api.Started)) and event.message in self.messages:
             self._finish(self.messages[event.message], now)
         elif isinstance(event, api.Timer) and event.token == self.token:
@@ -137,6 +138,9 @@
             if self.s.listed_rates and line.rate > 0 and endpoint.lane.total <= 0:
                 self._told(endpoint.lane, line.rate)
             endpoint.lane.blocked_until = max(endpoint.lane.blocked_until, line.silent_until)
+            if line.silent_until - now > SHUT_MS and endpoint.out_since is None:  # another process was told
+                self.slow_start.told_shut(endpoint, self.dests[line.destination], line.silent_until, now)
+                self._shut(endpoint.lane, now, line.silent_until, now)
             for m in list(self.dests[line.destination].queue) if line.silent_until > now else ():
                 self._expire(m, now)
         for e in [e for e in self.endpoints.values() if not (e.ready or e.calls)]:
@@ -181,7 +185,7 @@
         m.attempts, m.kept, m.halves = event.attempts, event.kept, not self.s.fades_linear
         m.spent = event.spent
         m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)  # in an earlier life
-        self._later(self._repeat_by(m), m.dest, m.id)
+        self._later(repeat_by(m), m.dest, m.id)
         if event.failed:
             self.slow_start.taken_back(self.dests[m.dest], now)
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
@@ -190,15 +194,11 @@
         if self.held >= self.s.max_open and not m.kept:  # make room for the next message
             self._give_up_least(self.messages.values(), now)
 
-    def _may_refuse(self, m: Message) -> bool:  # rule two for refusals: another try does no harm
-        keyed = m.cls.effect is Effect.KEYED and m.cls.group == "all"
-        return keyed or m.cls.effect is Effect.SAFE or not (m.maybe_ran or m.out)
-
     def _give_up(self, m: Message, now: float) -> None:
         """Answer at once: refused with advice where that is allowed, failed otherwise."""
         back = min(max(ADVICE_MS, self.dests[m.dest].shut_until() - now), self.s.max_backoff_ms)
         refusal = api.Refuse(m.id, back * self.s.may_advise)
-        self.actions.append(refusal if self._may_refuse(m) else api.Fail(m.id))
+        self.actions.append(refusal if may_refuse(m) else api.Fail(m.id))
         self._finish(m, now)
 
     def _finish(self, m: Message, now: float) -> None:
@@ -215,7 +215,7 @@
 
     def _give_up_least(self, among: Iterable[Message], now: float) -> None:
         """Give up at once, of what may be refused, the one that earns least when its queue has drained."""
-        waiting = [m for m in among if not (m.out or m.done or m.kept) and self._may_refuse(m)]
+        waiting = [m for m in among if not (m.out or m.done or m.kept) and may_refuse(m)]
         waiting = [m for m in waiting if now >= m.ends_from]
         drained = {dest: now + self._drain(dest, now) for dest in {m.dest for m in waiting}}
         if waiting:
@@ -243,23 +243,16 @@
         """Guards clients against silence: what cannot go in time any more, or at all, is answered now."""
         start = max(now + line, m.not_before, self.dests[m.dest].shut_until())
         late = start >= m.deadline - EDGE_MS or m.attempts >= self.s.max_attempts or m.spent
-        if m.out or m.done or not (late or start >= self._repeat_by(m)):
+        if m.out or m.done or not (late or start >= repeat_by(m)):
             return
         if now < m.ends_from:
             return self._later(m.ends_from, m.dest, m.id)
         self._give_up(m, now)
 
-    def _repeat_by(self, m: Message) -> float:
-        """Rule two for repeats: until when another attempt is harmless, wherever it may go."""
-        if m.maybe_ran is None or m.cls.effect is Effect.SAFE:
-            return 1e18
-        left = m.cls.window_ms - max(REPEAT_MS, 0.05 * m.cls.window_ms)
-        return m.maybe_ran[0] + left if m.cls.effect is Effect.KEYED else -1e18
-
     def _may_send(self, m: Message, e: Endpoint, now: float) -> bool:
         """The guard of every send: rules two, three, five and six for this message and endpoint."""
         held = max(m.not_before, e.lane.blocked_until) > now or m.attempts >= self.s.max_attempts or m.spent
-        if now >= self.closing_at or held or m.done or m.out or not e.ready or now >= self._repeat_by(m):
+        if now >= self.closing_at or held or m.done or m.out or not e.ready or now >= repeat_by(m):
             return False
         if m.maybe_ran and m.cls.effect is Effect.KEYED and m.cls.group != "all" and e.zone != m.maybe_ran[1]:
             return False
@@ -382,7 +375,7 @@
         m.attempts, m.out, m.kept = m.attempts + 1, m.out + 1, False
         (dest := self.dests[m.dest]).queue.remove(m)
         self.limits.went(m.id, now)
-        self.actions.append(api.Send(m.id, e.target, until, self._repeat_by(m), dest.scarce(e, self.crowded)))
+        self.actions.append(api.Send(m.id, e.target, until, repeat_by(m), dest.scarce(e, self.crowded)))
 
     def _settled(self, event: api.Settled, now: float) -> None:
         call = self.attempts.pop((event.message, event.attempt), None)
@@ -410,7 +403,7 @@
             self._later(self.rests[m.key], m.dest)
         if event.may_have_run and not m.maybe_ran:
             m.maybe_ran = (call.sent, e.zone)
-            self._later(self._repeat_by(m), m.dest, m.id)
+            self._later(repeat_by(m), m.dest, m.id)
         m.spent = m.spent or event.spent
         if event.finished or m.done:
             return self._finish(m, now)
@@ -431,7 +424,7 @@
             lane.latencies.append(event.took_ms)
             lane.usual = sum(lane.latencies) / len(lane.latencies)
             lane.margin = min(MARGIN_MS[2], max(MARGIN_MS[0], float(int(lane.usual * 1.1))))
-            self._came_back(e, now)
+            self._succeeded(e, call.sent, now)
             e.crowds, lane.dry, e.ok_sent, e.last_ok = 0, 0, max(e.ok_sent, call.sent), now
             if event.report.get("x0", 1.0) > LEFT:
                 self._grow(lane, now)
@@ -491,9 +484,14 @@
         spread = min(SPREAD_MS[1], SPREAD_MS[0] * self.s.forwarders) / min(1.0, lane.n)
         at = now + (wait + 1.0 if wait > 0 else WINDOW_MS / 5) + spread * self.random.random()
         lane.blocked_until = max(lane.blocked_until, at)
-        for other in lane.endpoints if wait > 2 * WINDOW_MS else ():
-            self._went_out(other, now, sent, self.many, Outcome.FULL)
-            self._next_trial(other, now + wait)
+        if wait > SHUT_MS:
+            self._shut(lane, sent, now + wait, now)
+
+    def _shut(self, lane: Lane, sent: float, until: float, now: float) -> None:
+        """Told to be shut: every endpoint of the destination, or route apart, is out until a trial then."""
+        for e in lane.endpoints:
+            self._went_out(e, now, sent, self.many, Outcome.FULL)
+            self._next_trial(e, until)
 
     def _no_table(self, e: Endpoint, call: Call, now: float) -> None:
         # Guards tables against idle connections of many, and pacing: what was turned away used no limit up.
@@ -529,9 +527,14 @@
         for kin in e.lane.endpoints:
             kin.trial_at = max(kin.trial_at, at)
 
-    def _came_back(self, e: Endpoint, now: float) -> None:
-        """A success ends the failing spell; after an outage the load returns in steps (rule four)."""
+    def _succeeded(self, e: Endpoint, sent: float, now: float) -> None:
+        """A success ends the failing spell, but not of a destination that has shut since it was sent."""
         e.marks.append(True)
+        if sent > e.lane.recovery.shut_sent:
+            self._came_back(e, now)
+
+    def _came_back(self, e: Endpoint, now: float) -> None:
+        """The failing spell is over; after an outage the load returns in steps (rule four)."""
         if e.out_since is not None:
             lasted = now - e.out_since
             health = api.Health.WARMING if lasted >= MISHAP_MS or failing(e) else api.Health.WELL
--- a/ashvale/lab/outages.py
+++ b/ashvale/lab/outages.py
@@ -41,6 +41,7 @@
     ERROR = "500"
     SHORT_WAIT = "503, short wait"
     LONG_WAIT = "429, wait of 3 s"
+    TOLD = "429, wait until it opens"
     UNPROVEN = "503, not proven"
     PRESUMED = "an earlier call's 200, then reset"
     MOST = "500 to 7 in 10"
@@ -226,6 +227,8 @@
                 return Outcome.OK, ANSWER_MS, 0.0, False
             case Sign.SHORT_WAIT:
                 wait = SHORT_WAIT_MS
+            case Sign.TOLD:
+                wait = max(1.0, self.outage[1] - self.now - ANSWER_MS)
             case Sign.BUSY | Sign.SHUT | Sign.UNPROVEN:
                 wait = 0.0
         return Outcome.FULL, ANSWER_MS, wait, self.play.sign is Sign.UNPROVEN
--- a/ashvale/pacing.py
+++ b/ashvale/pacing.py
@@ -11,6 +11,7 @@
 RATE_MS = 20000.0  # span over which the usual traffic of a destination is counted
 OVERDUE = 4.0  # a call is overdue after this multiple of the usual time
 MISHAP_MS, LOSSY_MS = 2500.0, 10000.0  # shorter failures are no outage; nor are lost answers so long after
+SHUT_MS = 2 * WINDOW_MS  # a refusal that tells a longer wait comes from a destination that is shut
 RAMP_SHARE = (0.9, 0.3)  # part of the permitted fail-back load that is used; so much less of it by many
 SPARE = 1.5  # what a destination can do, over its usual traffic, at the least
 
--- a/ashvale/slow_start.py
+++ b/ashvale/slow_start.py
@@ -11,7 +11,7 @@
 
 from ashvale import interface as api
 from ashvale.interface import Outcome
-from ashvale.pacing import MISHAP_MS, RAMP_SHARE, RATE_MS, SPARE
+from ashvale.pacing import MISHAP_MS, RAMP_SHARE, RATE_MS, SHUT_MS, SPARE
 from ashvale.state import NEVER, Call, Destination, Endpoint, Lane, Recovery
 
 FEW = 4.0  # forwarders that need no budget of their own: each sees enough of an outage
@@ -77,6 +77,8 @@
     def settled(self, call: Call, dest: Destination, outcome: Outcome, now: float, wait: float = 0.0) -> None:
         """A call, or a probe, has ended. One with several messages counts once; `wait` was told with it."""
         e = call.endpoint
+        if outcome is Outcome.FULL and wait > SHUT_MS:
+            self._shut(e.lane.recovery, call.sent)
         pace = self.pace(e.lane, dest, 0.0, now)
         if outcome is Outcome.OK:
             self._succeeded(e.lane.recovery, call.sent, now, pace)
@@ -86,6 +88,11 @@
             passing = others and outcome is not Outcome.FULL
             self._failed(e.lane.recovery, call.sent, now + max(0.0, wait), pace, passing)
 
+    def told_shut(self, e: Endpoint, dest: Destination, until: float, now: float) -> None:
+        """Another process of this forwarder was told that the destination is shut `until` then."""
+        self._shut(e.lane.recovery, now)
+        self._failed(e.lane.recovery, now, until, self.pace(e.lane, dest, 0.0, now), False)
+
     def taken_back(self, dest: Destination, now: float) -> None:
         """The last success was none: that call had failed, or one of an earlier process."""
         recovery = dest.recovery
@@ -112,6 +119,10 @@
             return pace
         return min(pace, self._unknown(recovery, now), FIRST_RETRY_MS)
 
+    def _shut(self, recovery: Recovery, sent: float) -> None:
+        """Calls up to that send time say nothing of the destination any more, however they end."""
+        recovery.shut_sent = max(recovery.shut_sent, sent)
+
     def _failed(self, recovery: Recovery, sent: float, now: float, pace: float, passing: bool) -> None:
         """Count a failure. `passing`: it may be that of one endpoint, and others are not known to fail."""
         if not self.many or sent <= recovery.last_ok:
@@ -130,11 +141,13 @@
 
     def _succeeded(self, recovery: Recovery, sent: float, now: float, pace: float) -> None:
         """What is sent grows from the cold pace on where the destination was out."""
+        if sent <= recovery.shut_sent:
+            return  # it went before the destination shut
         recovery.before = failures, since = recovery.failures, recovery.failing_since
         recovery.last_ok = max(recovery.last_ok, sent)
         recovery.failures = 0
         if failures and now - since >= MISHAP_MS:
-            # One failure alone may have been a passing one.
-            warm = 0.0 if failures >= STREAK else DOUBTFUL
+            # One failure alone may have been a passing one, unless it told that the destination is shut.
+            warm = 0.0 if failures >= STREAK or recovery.shut_sent >= since else DOUBTFUL
             recovery.warm_from = now - warm * self._settings.warm_up_ms
             recovery.opens_at = now + pace * self._random.random()
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -86,6 +86,7 @@
     failures: int = 0  # in a row, with no success between
     failing_since: float = NEVER  # when they may have begun
     last_ok: float = NEVER  # send time of the last call that succeeded
+    shut_sent: float = NEVER  # send time of the last call whose answer told that it is shut
     warm_from: float = NEVER  # when it last came back from an outage
     opens_at: float = NEVER  # nothing goes before
     before: tuple[int, float] = field(default=(0, NEVER))  # failures and their begin before the last success
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from ashvale import control
 from ashvale.control import Controller
 from ashvale.exchange import RETURNED, Exchange, Refusal
 from ashvale.lab.disk import FULL, KILL, NO_RENAME, SHORT, TORN
@@ -343,7 +344,7 @@
     "end too late": (Exchange, "_tell", late, SLOW, {}),
     "two ends": (Server, "ended", two_states, SLOW, {}),
     "two attempts at once": (Exchange, "_begin", twice, Partner("a", 1), {}),
-    "sent again past its window": (Controller, "_repeat_by", lambda self, m: 1e18, SLOW, {}),
+    "sent again past its window": (control, "repeat_by", lambda m: 1e18, SLOW, {}),
     "more attempts than allowed": (
         Controller,
         "_went_out",
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 from hypothesis import Phase, given
 from hypothesis import settings as budget
 from hypothesis import strategies as st
 
+from ashvale import control
 from ashvale import interface as api
 from ashvale.control import Controller
 from ashvale.interface import Outcome
+from ashvale.state import Message
 from tests.rulebook import Driver, RuleBroken
 from tests.samples import CLASSES, line, listed, settings
 
@@ -82,13 +86,21 @@
     assert one.log == two.log
 
 
-@pytest.mark.parametrize("guard", ["_may_send", "_may_refuse", "_repeat_by", "_expire"])
-def test_a_guard_taken_out_is_found(guard: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(
-        Controller,
-        guard,
-        lambda self, m, *rest: 1e18 if guard == "_repeat_by" else (guard != "_expire" and not m.done),
-    )
+@pytest.mark.parametrize(
+    ("owner", "guard"),
+    [
+        (Controller, "_may_send"),
+        (control, "may_refuse"),
+        (control, "repeat_by"),
+        (Controller, "_expire"),
+    ],
+)
+def test_a_guard_taken_out_is_found(owner: object, guard: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    def taken_out(*given: Any) -> float | bool:
+        message = next(each for each in given if isinstance(each, Message))
+        return 1e18 if guard == "repeat_by" else (guard != "_expire" and not message.done)
+
+    monkeypatch.setattr(owner, guard, taken_out)
 
     @given(SETUP, st.lists(STEP, min_size=20, max_size=40))
     @budget(max_examples=200, phases=(Phase.generate,), report_multiple_bugs=False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from ashvale import interface as api
@@ -272,6 +274,52 @@
     assert driver.controller.endpoints[b"a"].ramp_from == driver.now
 
 
+def first_call(driver: Driver) -> None:
+    """Let time pass until a call is out."""
+    for _ in range(2000):
+        if driver.out():
+            return
+        driver.until(driver.now + 5.0)
+    raise AssertionError("no call in 10 s")
+
+
+@pytest.mark.parametrize("forwarders", [1, 2, 30])
+def test_a_call_sent_before_a_destination_shut_does_not_end_its_outage(forwarders: int) -> None:
+    """Guards review case 4: one that had been taken ended well behind a refusal that told a long wait."""
+    lines = line("a", rate=60.0), line("b", rate=60.0)
+    driver = started(*lines, forwarders=forwarders, warm_up_ms=11_000.0, cold_share=0.19, listed_rates=True)
+    message(driver, 1)
+    driver.now = 50.0
+    message(driver, 2, KEYED)
+    driver.now = 100.0
+    driver.settle(2, 0, Outcome.FULL, wait=9000.0)
+    driver.now = 180.0
+    driver.settle(1, 0, Outcome.OK)
+    driver.until(9000.0)
+    for number in range(10, 30):
+        message(driver, number, KEYED)
+    first_call(driver)
+    ((number, attempt, _),) = driver.out()  # a trial, and not all that waits
+    driver.settle(number, attempt, Outcome.OK)
+    recovery = driver.controller.dests[1].recovery
+    ramps = [endpoint.ramp_from for endpoint in driver.controller.endpoints.values()]
+    assert recovery.warm_from == driver.now if forwarders > 4 else max(ramps) == driver.now
+
+
+@pytest.mark.parametrize("forwarders", [1, 2, 30])
+def test_a_long_wait_that_another_process_was_told_is_an_outage(forwarders: int) -> None:
+    """Guards fail-back as in review case 4 in an upgrade: the newcomer knows the outage by the wait alone."""
+    partner = line("a", rate=60.0)
+    driver = started(partner, forwarders=forwarders, warm_up_ms=11_000.0, cold_share=0.19, listed_rates=True)
+    told = replace(partner, silent_until=9000.0)
+    driver.feed(listed(told, how=api.ListKind.DELTA))
+    driver.until(8000.0)
+    for number in range(10, 30):
+        message(driver, number, KEYED)
+    first_call(driver)
+    assert len(driver.out()) == 1 and driver.now > 9000.0
+
+
 def test_a_newcomer_shares_the_trouble_of_its_kin() -> None:
     """Guards a returning destination: what waits must not jump onto an endpoint listed just then."""
     driver = started(line("a"), forwarders=40)
