--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -50,7 +50,8 @@
 _BLOCK = 512  # files are counted in whole blocks
 REWRITE_LARGE = 64 * 1024  # bytes from which a file takes long enough to hold service up
 REWRITE_AGAIN_MS = 100.0  # pause before such a file is written again that could not be
-_MARGIN = 32 * 1024  # kept free of the disk's limit
+REWRITE_GAIN = 8 * 1024  # bytes appended since the last rewrite that make another one worth while
+_MARGIN = 32 * 1024  # kept free of the disk's limit; a file may grow into it by REWRITE_GAIN
 log = logging.getLogger(__name__)
 
 
@@ -89,13 +90,14 @@
         self._lock, self._aside_lock = folder / "journal.lock", folder / "journal.next.lock"
         self._share = DiskShare(self._disk, folder)
         self._whole = self._budget = 0
-        self.limit(room)
         self.entries: dict[int, Entry] = {}
         self._sizes: dict[int, int] = {}
         self._live = 0
         self._next = 1
         self._file = -1  # none: the next write begins with a new file
         self._size = 0
+        self._rewritten_size = 0  # of the file when it was last put in place
+        self.limit(room)
         self._clock, self._rewrite_after = clock, 0.0
         self._closed = False
         self._torn = False  # the file may end in half a record, behind `_size`
@@ -203,6 +205,7 @@
         """Keep within so many bytes of the disk, together with a process beside this one."""
         whole = room - _MARGIN - 2 * _BLOCK
         self._budget, self._whole = self._budget + whole - self._whole, whole
+        self._rewritten_size = 0  # what has ended goes from the file at once where there is less room now
 
     def divide(self, leaving: bool = False) -> None:
         """Find out whether another process writes beside this one, and what of the disk is this one's.
@@ -372,8 +375,12 @@
             log.error("half a record not cut off", extra={"at": self._size, "why": str(error)})
 
     def _room(self, wanted: int) -> None:
-        """Guards the disk limit: old and new file must fit together when the journal is next rewritten."""
-        if self._size + wanted + self._live > self._budget:
+        """Guards the disk limit: old and new file must fit together when the journal is next rewritten.
+
+        And guards the loop: where more is owed than fits twice, a rewrite for each record gains nothing.
+        """
+        crowded = self._size + wanted + self._live > self._budget
+        if crowded and self._size - self._rewritten_size >= REWRITE_GAIN:
             self._rewrite()
 
     def _rewrite(self) -> None:
@@ -397,6 +404,7 @@
             self._disk.close(file)
             raise
         self._file, self._size, self._torn, self._unwritten = file, len(data), False, []
+        self._rewritten_size = len(data)
         self._rewrite_after = 0.0
 
     def _remove_new(self) -> None:
--- a/tests/test_upgrade_disk.py
+++ b/tests/test_upgrade_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -20,11 +21,15 @@
 
 
 class MeasuredDisk(Disk):
-    """Notes what the folder held at the most, each file counted in whole 512 bytes."""
+    """Notes what the folder held at the most, each file counted in whole 512 bytes, and counts rewrites."""
 
     def __init__(self, folder: Path) -> None:
         super().__init__()
-        self.folder, self.most = folder, 0
+        self.folder, self.most, self.rewrites = folder, 0, 0
+
+    def replace(self, old: Path, new: Path) -> None:
+        self.rewrites += new.name == "journal"
+        super().replace(old, new)
 
     def write(self, file: int, data: memoryview) -> int:
         taken = super().write(file, data)
@@ -110,3 +115,56 @@
     old.close()
     new.adopt()
     assert not new.waiting and disk.most <= room
+
+
+def deliver(journal: Journal, entries: list[Entry]) -> None:
+    for each in entries:
+        journal.started([each], 1000.0, 1)
+        journal.outcome(each, False)
+        journal.decided(each, "delivered", 0.0)
+        journal.ended(each)
+
+
+def test_a_journal_that_owes_more_than_fits_twice_is_not_rewritten_for_each_record(tmp_path: Path) -> None:
+    """Guards review case 1: the courier stood still for seconds, as each record wrote the whole file anew."""
+    room = 400_000
+    held = Journal(tmp_path, 2 * room)  # as two processes that did not share the disk left it
+    for number in range(50):
+        held.take(entry(f"m{number}", 6000))
+    held.close()
+    disk = MeasuredDisk(tmp_path)
+    joined = Journal(tmp_path, room, disk=disk)
+    assert len(joined.entries) == 50
+    disk.rewrites = 0
+    deliver(joined, list(joined.entries.values()))
+    assert disk.rewrites <= 4  # of 200 records
+
+
+def test_a_lower_limit_does_not_have_the_journal_rewritten_for_each_record(tmp_path: Path) -> None:
+    """Guards review case 1's like: SIGHUP may lower the disk limit under what is owed."""
+    disk = MeasuredDisk(tmp_path)
+    held = Journal(tmp_path, 400_000, disk=disk)
+    for number in range(25):
+        held.take(entry(f"m{number}", 6000))
+    held.limit(250_000)
+    disk.rewrites = 0
+    deliver(held, list(held.entries.values())[:12])
+    assert disk.rewrites <= 2  # of 48 records
+
+
+def test_what_two_processes_owe_fits_twice_where_one_takes_it_over(tmp_path: Path) -> None:
+    """Guards review case 1: each process of an upgrade owed up to half of the disk, both together all."""
+    disk = MeasuredDisk(tmp_path)
+    old = Journal(tmp_path, 400_000, disk=disk)
+    new = Journal(tmp_path, 400_000, disk=disk)
+    for number in range(100):
+        old.divide()
+        for journal in (old, new):
+            with suppress(Full):
+                journal.take(entry(f"{number}-{journal.waiting}", 6000))
+    old.close()
+    new.adopt()
+    assert 15 < len(new.entries) and 2 * 7000 * len(new.entries) < 400_000
+    disk.rewrites = 0
+    deliver(new, list(new.entries.values()))
+    assert disk.rewrites <= 2
