Divide the descriptors between the two processes of an upgrade

Cause: each took half of all for its clients. Change: while another process writes beside this one, each has half of the descriptors; the older one lets resting clients beyond that go. Evidence: tests/test_upgrade_limits.py, a test that failed before.

--- a/ashvale/courier.py
+++ b/ashvale/courier.py
@@ -87,7 +87,7 @@
             self.exchange.hear_wait,
         )
         self.exchange.tell_wait = self.waits.tell
-        self._divide_disk()
+        self._divide()
         self.exchange.resume()
         self._door(told)
         if told.platform is not None and told.platform.operator is not None and self.server is not None:
@@ -172,11 +172,16 @@
         self.exchange.resume(taken)
         log.info("journal adopted", extra={"entries": len(taken)})
 
-    def _divide_disk(self) -> None:
-        """Keep to this process's part of the disk while another one of this courier runs."""
-        if not self.exchange.halted:
-            self.loop.call_at(self.loop.now() + self.waits.every, self._divide_disk)
-            self.exchange.journal.divide(self._left)
+    def _divide(self) -> None:
+        """Keep to this process's part of disk and descriptors while another one of this courier runs."""
+        if self.exchange.halted:
+            return
+        self.loop.call_at(self.loop.now() + self.waits.every, self._divide)
+        journal = self.exchange.journal
+        before = journal.divided
+        journal.divide(self._left)
+        if journal.divided is not before:
+            self._share(self.told)
 
     def _trace(self, told: config.Config) -> None:
         """Follow what the operator's file says of tracing; what it needs is loaded only where it is on."""
@@ -253,11 +258,14 @@
         self._always(self.carrier.sweep, "mail pool")
 
     def _share(self, told: config.Config) -> None:
-        """Half of the descriptors are for service clients, a quarter for idle connections to endpoints."""
-        sockets = told.limits.sockets
+        """Half of the descriptors are for service clients, a quarter for idle connections to endpoints.
+
+        Two processes of an upgrade have half of them each.
+        """
+        sockets = told.limits.sockets // (2 if self.exchange.journal.divided else 1)
         mail_clients = sum(where.most for where in told.mail.listen) if told.mail else 0
         if self.server is not None:
-            self.server.listener.most = max(1, sockets // 2 - mail_clients)
+            self.server.listener.limit(max(1, sockets // 2 - mail_clients))
             self.pool.most_idle = sockets // 8
         if self.mail is not None:
             self.carrier.most_idle = sockets // 8
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -100,6 +100,7 @@
         self.limit(room)
         self._clock, self._rewrite_after = clock, 0.0
         self._closed = False
+        self.divided = False  # another process writes beside this one, as far as this one has looked
         self._torn = False  # the file may end in half a record, behind `_size`
         self._unwritten: list[bytes] = []  # records of what has come about, which the file lacks
         self._joined: Optional[Path] = None  # a file whose entries are ours, and which is still to be removed
@@ -128,6 +129,7 @@
             time.sleep(0.01)  # guards a start against the moment in which the other one looks for us
         self._path = self._aside if self.waiting else self._main
         if self.waiting:
+            self.divided = True
             self._share.clear()
             self._budget = self._newcomers_share()
         for entry, size in self._load(self._path):
@@ -215,9 +217,10 @@
         if self._closed:
             return
         try:
+            self.divided = self.waiting or self._beside()
             if self.waiting:
                 self._budget = self._newcomers_share()
-            elif self._beside():
+            elif self.divided:
                 self._yield_room(leaving)
             elif self._joined is None:
                 # What a newcomer that has ended left stays there, and goes into one file with ours later.
--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -729,6 +729,12 @@
             self.open[connection] = None
             self.loop.spawn(self._run(connection), self.name)
 
+    def limit(self, most: int) -> None:
+        """Hold at most so many from now on; of those beyond that the ones that rest are dismissed."""
+        self.most = most
+        if (beyond := len(self.open) - most) > 0:
+            self.dismiss_resting(0.0, 0.0, beyond)
+
     @property
     def crowded(self) -> bool:
         return len(self.open) >= CROWDED * self.most
--- a/tests/test_upgrade_disk.py
+++ b/tests/test_upgrade_limits.py
@@ -1,8 +1,9 @@
-"""Two processes of one courier on one folder, as in an upgrade: the disk that both may fill together."""
+"""Two processes of one courier, as in an upgrade: the disk and the descriptors that both share."""
 
 from __future__ import annotations
 
 import itertools
+import socket
 from contextlib import suppress
 from pathlib import Path
 
@@ -168,3 +169,24 @@
     disk.rewrites = 0
     deliver(new, list(new.entries.values()))
     assert disk.rewrites <= 2
+
+
+def test_two_processes_of_an_upgrade_share_the_descriptors() -> None:
+    """Guards the limit on sockets: each process of an upgrade held as many clients as a lone one may."""
+    with scene() as s:
+        s.sockets = 64
+        s.environ["LB_OPERATOR"] = f"{HERE}:0"
+        s.start()
+        assert s.courier.server is not None
+        listener = s.courier.server.listener
+        clients = [socket.create_connection(listener.address) for _ in range(30)]
+        s.until(lambda: len(listener.open) == 30)
+        new = Courier(config.load(s.told), s.loop)
+        s.at_end.append(new.halt)
+        assert new.server is not None
+        s.until(lambda: listener.most + new.server.listener.most == 32)
+        s.until(lambda: len(listener.open) <= 16)
+        s.courier.halt()
+        s.until(lambda: new.server.listener.most == 32)
+        for client in clients:
+            client.close()
