--- a/ashvale/disk.py
+++ b/ashvale/disk.py
@@ -24,6 +24,15 @@
     def create(self, path: Path) -> int:
         return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
 
+    def read_from(self, path: Path, at: int) -> bytes:
+        """What a file holds from `at` on; nothing where there is none, or it is shorter."""
+        try:
+            with open(path, "rb") as file:
+                file.seek(at)
+                return file.read()
+        except FileNotFoundError:
+            return b""
+
     def size(self, path: Path) -> int:
         """A file's size in bytes; 0 where there is none."""
         try:
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -320,10 +320,16 @@
         """The message with that id, while it is held or its outcome is remembered."""
         return self._ids.get((front, id))
 
+    def state_beside(self, front: str, id: str) -> Optional[str]:
+        """How a message ended that another process of this courier took on: "" if not yet, None for none."""
+        return self.journal.state_beside(front, id)
+
     def take(self, command: Command) -> Entry | Refusal:
         """Write the message down and hold it, or refuse it at the door."""
         if (known := self.find(command.front, command.id)) is not None:
             return known  # guards against a second life for a command that a client sent once more
+        if self.state_beside(command.front, command.id) is not None:
+            return self.refuse(command, "another process of this courier has had it")
         if command.cls not in self._classes:  # the settings changed since its front looked it up
             return self.refuse(command, "no such class any more")
         if len(self._owed) - len(self._presumed) >= self.settings.max_open:
@@ -807,17 +813,23 @@
         Guards three rules where a connection takes long to come up: on waits, as what the Controller sent
         before it heard of one would arrive in the midst of it; on drains, as the endpoint may have left the
         list, or another may have its address; and on repeats, as a window that held when the Controller chose
-        may have closed (under a cut a connection comes up at the system's second try, a second later).
+        may have closed (under a cut a connection comes up at the system's second try, a second later). A
+        message that was withdrawn meanwhile is not called with either: its id may have been taken on anew.
         """
         if not self.may_go(attempt):
             return False
         now = self.loop.now()
-        for at in [at for at, by in enumerate(attempt.by) if now >= by][::-1]:
+        due = [now >= by or self._is_over(e) for e, by in zip(attempt.parts, attempt.by, strict=True)]
+        for at in [at for at, drop in enumerate(due) if drop][::-1]:
             self.report(attempt, attempt.parts[at], Outcome.MOOT)
             for parts in (attempt.parts, attempt.numbers, attempt.by):
                 del parts[at]
         return bool(attempt.parts)
 
+    def _is_over(self, entry: Entry) -> bool:
+        """Whether nothing is owed for a message any more, as its client left before it heard."""
+        return entry.number not in self._owed
+
     def takes_several(self, endpoint: Endpoint) -> bool:
         """Whether calls to an endpoint may carry several messages, whose answers name them."""
         return self._kind(endpoint).per_call > 1
--- a/ashvale/journal.py
+++ b/ashvale/journal.py
@@ -21,6 +21,7 @@
 
 from ashvale.disk import Disk
 from ashvale.disk_share import DiskShare, share_of_older, share_unless_told
+from ashvale.journal_follower import JournalFollower
 from ashvale.journal_records import (
     DECIDED,
     DECIDED_FORM,
@@ -89,6 +90,7 @@
         self._main, self._aside = folder / "journal", folder / "journal.next"
         self._lock, self._aside_lock = folder / "journal.lock", folder / "journal.next.lock"
         self._share = DiskShare(self._disk, folder)
+        self._other = JournalFollower(self._disk, self._aside)
         self._whole = self._budget = 0
         self.entries: dict[int, Entry] = {}
         self._sizes: dict[int, int] = {}
@@ -129,6 +131,7 @@
             time.sleep(0.01)  # guards a start against the moment in which the other one looks for us
         self._path = self._aside if self.waiting else self._main
         if self.waiting:
+            self._other.follow(self._main)
             self.divided = True
             self._share.clear()
             self._budget = self._newcomers_share()
@@ -169,6 +172,14 @@
         self._disk.unlock(self._aside_lock)
         return False
 
+    def state_beside(self, front: str, id: str) -> Optional[str]:
+        """What became of a message that another process took on, as `JournalFollower.find` has it."""
+        try:
+            return self._other.find(front, id)
+        except OSError as error:
+            failed_calls.note("journal", error)
+            return None
+
     def adopt(self) -> list[Entry]:
         """Once the process that wrote `journal` has ended, take over what it still owes; those entries.
 
@@ -185,6 +196,7 @@
             return []
         self.waiting, self._joined, self._path = False, self._path, self._main
         self._budget = self._whole
+        self._other.follow(self._aside)
         self._leave_file()
         try:
             self._make_ready()
--- a/ashvale/lab/virtual.py
+++ b/ashvale/lab/virtual.py
@@ -78,8 +78,9 @@
         self._net.later(self._net.delay(self.local, address), lambda: self._net.arrive(self, address))
         return errno.EINPROGRESS
 
-    def getsockopt(self, _level: int, _name: int) -> int:
-        return self.error
+    def getsockopt(self, _level: int, _name: int, size: int = 0) -> int | bytes:
+        """The pending error; of a structure, as the state of a connection is, nothing is known here."""
+        return bytes(size) if size else self.error
 
     def accept(self) -> tuple[VirtualSocket, Address]:
         if not self.waiting:
--- a/ashvale/loop.py
+++ b/ashvale/loop.py
@@ -68,6 +68,7 @@
     errno.ENONET,
     errno.EOPNOTSUPP,
 )
+_OTHER_SIDE_ENDED = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, by linux/tcp_states.h
 log = logging.getLogger(__name__)
 
 
@@ -511,6 +512,16 @@
         """True when an idle connection is of no more use: ended, broken, or spoken to out of turn."""
         return self.gone or self.ended or self.fault is not None or bool(len(self.inbound))
 
+    @property
+    def abandoned(self) -> bool:
+        """True when the other side has ended it, though more that it sent may still have to be read."""
+        if self.ended or self.fault is not None or self.closed:
+            return True
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in _OTHER_SIDE_ENDED
+        except OSError:  # it is no TCP socket
+            return False
+
     @property
     def gone(self) -> bool:
         """True when this side has ended it: nothing is sent on it or read from it any more."""
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -15,7 +15,7 @@
 import h11
 
 from ashvale import interface as api
-from ashvale.exchange import DELIVERED, REFUSED_MS, RETURNED, Command, Exchange, Refusal
+from ashvale.exchange import DELIVERED, FAILED, REFUSED_MS, RETURNED, Command, Exchange, Refusal
 from ashvale.journal import Entry
 from ashvale.loop import (
     FOREVER,
@@ -71,6 +71,7 @@
     body: bytes
     read_at: float
     began: float = 0.0  # its first byte was there
+    abandoned: bool = False  # its client has ended the connection, and hears of nothing that comes of it
 
 
 class Server:
@@ -86,15 +87,24 @@
         self.listener = Listener(loop, address, self._serve, most, "platform", reuse_port=True)
 
     def ended(self, entry: Entry) -> None:
-        # Guards a message that is over against a second life under its id, as another client may send it.
-        self._past[entry.id] = entry.state
-        if len(self._past) > PAST_MOST:
-            del self._past[next(iter(self._past))]
-        if entry.state in (RETURNED, "failed"):
+        self._remember(entry.id, entry.state)
+        if entry.state in (RETURNED, FAILED):
             self.notices.add(entry)
         else:
             self.exchange.told(entry)
 
+    def _remember(self, id: str, state: str) -> None:
+        """Guards a message that is over against a second life under its id, as any client may send it."""
+        self._past[id] = state
+        if len(self._past) > PAST_MOST:
+            del self._past[next(iter(self._past))]
+
+    def _withdraw(self, entry: Entry) -> None:
+        """Its client has left before it heard; what may have run by then is not taken on again."""
+        if entry.attempts:
+            self._remember(entry.id, FAILED)
+        self.exchange.withdraw(entry)
+
     def keep_ms(self, entry: Entry, state: str, after_ms: float) -> float:
         return 0.0  # an id is never used again here
 
@@ -145,7 +155,7 @@
             except (Broken, Expired) as error:
                 log.info("answer not told", extra={"status": status, "why": str(error)})
                 if taken is not None:
-                    self.exchange.withdraw(taken)
+                    self._withdraw(taken)
                 raise
             if taken is not None:
                 self.exchange.answered(taken)
@@ -230,6 +240,7 @@
                     bytes(body),
                     self.loop.now(),
                     began,
+                    connection.abandoned,
                 )
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
@@ -266,11 +277,16 @@
             return 202, [], None  # held already, and not this request's to withdraw
         if (state := self._past.get(command.id)) is not None:
             return (202 if state == DELIVERED else 409), [], None
+        if (state := self.exchange.state_beside("platform", command.id)) is not None:
+            return (202 if state in ("", DELIVERED) else 409), [], None
         if not self.exchange.serves(command.dest):
             self.exchange.refuse(command, "no such destination")
             if self.exchange.listed:
                 raise Refused(404, f"no destination {command.dest}")
             return 503, [("Retry-After", f"{REFUSED_MS / 1000.0:.3f}")], None
+        if request.abandoned:
+            self.exchange.refuse(command, "its client has left")
+            return 503, [("Retry-After", f"{REFUSED_MS / 1000.0:.3f}")], None
         result = self.exchange.take(command)
         if isinstance(result, Refusal):
             return 503, [("Retry-After", f"{result.after_ms / 1000.0:.3f}")], None
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -322,7 +322,7 @@
                 raise OSError(28, "no space left")
 
             monkeypatch.setattr("ashvale.trace.store.os.write", full)
-            monkeypatch.setattr("ashvale.journal.os.write", __import__("posix").write)
+            monkeypatch.setattr("ashvale.disk.os.write", __import__("posix").write)
         else:
             monkeypatch.setattr(tracer, "_finish", lambda *_: 1 / 0)
         if harm == "disk":  # the two modules share `os`; only the store's part of it may fail
