Give an address to the endpoint that came up there last, and none of the old one's work

Cause: an endpoint was known by its name, and its address was looked at only against what the list said of that name. Change: who is told at an address of another destination's endpoint takes its place, and that one is gone, whatever is listed; a name that comes with another destination is another endpoint. The other process' mail ids are asked for only while it runs.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -14,13 +14,12 @@
 from ashvale import interface as api
 from ashvale.interface import Effect, Outcome, Readiness
 from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RATE_MS, SHUT_MS, WINDOW_MS, failing, gate, overdue
-from ashvale.repeats import may_refuse, repeat_by
+from ashvale.repeats import ADVICE_MS, may_refuse, repeat_by
 from ashvale.slow_start import SlowStart
-from ashvale.state import Call, Destination, Endpoint, Lane, Message
+from ashvale.state import MARKS, SAMPLES, Call, Destination, Endpoint, Lane, Message
 from ashvale.tenants import TenantShares
 
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
-SAMPLES, MARKS = 100, 8  # latencies kept for margin and usual time; outcomes kept for health
 CLEAN_WINDOWS = 8  # clean windows after which a learned ring is open again
 LEAST = (3.0, 0.35)  # N's floor: a share of so many calls, and this much of a listed part of many
 LOOSE = 2.0  # where many share a limit N starts so many roots of its part over it
@@ -31,7 +30,6 @@
 LANE_SHARE = 0.75  # part of the slots that one lane may hold
 LEFT = 0.25  # N does not grow while less than this share of a limit is reported left
 EDGE_MS = 80.0  # left of its time when a message is answered
-ADVICE_MS = 1000.0  # when to come back with a message that was given up
 RENEW_MS = 300.0  # first pause before a failed message is tried again; doubles. The list: three at most
 
 
@@ -133,7 +131,7 @@
         for endpoint in self.endpoints.values():
             endpoint.ready = endpoint.ready and event.how is api.ListKind.DELTA
         for line in (x for x in event.lines if x.target in self.endpoints or x.readiness is Readiness.READY):
-            endpoint = self.endpoints.get(line.target) or self._add(line, now)
+            endpoint = self._known(line) or self._add(line, now)
             endpoint.ready, self.dirty[line.destination] = line.readiness is Readiness.READY, None
             if self.s.listed_rates and line.rate > 0 and endpoint.lane.total <= 0:
                 self._told(endpoint.lane, line.rate)
@@ -146,8 +144,15 @@
         for e in [e for e in self.endpoints.values() if not (e.ready or e.calls)]:
             del self.endpoints[e.target]
             self.dests[e.dest].blocked_until = max(self.dests[e.dest].blocked_until, e.lane.blocked_until)
-            self.dests[e.dest].endpoints.remove(e)
-            e.lane.endpoints.remove(e)
+            e.leave(self.dests[e.dest])
+
+    def _known(self, line: api.Listing) -> Endpoint | None:
+        """The endpoint that a line of the list is about; one of another destination is another endpoint."""
+        endpoint = self.endpoints.get(line.target)
+        if endpoint is None or endpoint.dest == line.destination:
+            return endpoint
+        endpoint.leave(self.dests[endpoint.dest])
+        return None
 
     def _add(self, line: api.Listing, now: float) -> Endpoint:
         """Meet an endpoint for the first time; routes apart get a lane each."""
@@ -326,11 +331,6 @@
             dest.look_at = due
             self._later(due, number)
 
-    def _joins(self, e: Endpoint, now: float) -> bool:  # in a call that leaves this very moment
-        one = e.out_since is not None and any(x.ready and x.out_since is None for x in e.lane.endpoints)
-        most = 1 if one else e.kind.per_call  # while others serve, a trial risks one message
-        return bool(e.calls and e.calls[-1].sent == now and e.calls[-1].members < most)
-
     def _free(self, e: Endpoint, now: float) -> bool:
         """Tell whether slots, ring and health let a call go; one lane never holds all slots."""
         most = max(2.0, LANE_SHARE * self.s.slots) if self.calls_out < self.s.slots else 0.0
@@ -338,11 +338,11 @@
         return room and max(gate(e.lane), self._opens(e, now)) <= now
 
     def _rank(self, e: Endpoint, now: float) -> tuple[bool, bool, float, int, float]:  # the least goes first
-        return not self._joins(e, now), e.out_since is None, e.fee, len(e.calls), -e.last_ok
+        return not e.joins(now), e.out_since is None, e.fee, len(e.calls), -e.last_ok
 
     def _pick(self, dest: Destination, now: float) -> tuple[float, Message, Endpoint] | None:
         """Choose the message that loses most by waiting for the queue to drain, and its best endpoint."""
-        known = [e for e in dest.endpoints if e.ready and (self._joins(e, now) or self._free(e, now))]
+        known = [e for e in dest.endpoints if e.ready and (e.joins(now) or self._free(e, now))]
         endpoints = sorted(known, key=lambda e: self._rank(e, now))
         best: tuple[float, Message, Endpoint] | None = None
         if not (endpoints and dest.queue):
@@ -358,7 +358,7 @@
         return best
 
     def _send(self, m: Message, e: Endpoint, now: float) -> None:
-        if not self._joins(e, now):
+        if not e.joins(now):
             e.calls.append(Call(e, now))
             e.lane.ring.append(now)
             self.calls_out, e.last_sent = self.calls_out + 1, now
--- a/ashvale/exchange.py
+++ b/ashvale/exchange.py
@@ -21,6 +21,7 @@
 from ashvale.control import Controller
 from ashvale.interface import Outcome
 from ashvale.journal import Entry, Full, Journal
+from ashvale.journal_follower import OWED
 from ashvale.loop import Loop
 
 if TYPE_CHECKING:  # loaded only where they are on
@@ -321,15 +322,15 @@
         return self._ids.get((front, id))
 
     def state_beside(self, front: str, id: str) -> Optional[str]:
-        """How a message ended that another process of this courier took on: "" if not yet, None for none."""
+        """How a message ended that another process here took on: `OWED` if it has not, None for none."""
         return self.journal.state_beside(front, id)
 
     def take(self, command: Command) -> Entry | Refusal:
         """Write the message down and hold it, or refuse it at the door."""
         if (known := self.find(command.front, command.id)) is not None:
             return known  # guards against a second life for a command that a client sent once more
-        if self.state_beside(command.front, command.id) is not None:
-            return self.refuse(command, "another process of this courier has had it")
+        if self.journal.divided and self.state_beside(command.front, command.id) == OWED:
+            return self.refuse(command, "another process of this courier has it")
         if command.cls not in self._classes:  # the settings changed since its front looked it up
             return self.refuse(command, "no such class any more")
         if len(self._owed) - len(self._presumed) >= self.settings.max_open:
@@ -576,6 +577,10 @@
             self._left = self.endpoints.keys() - names
         else:
             self._left -= {endpoint.name for endpoint in told}
+        replaced = self._replaced(told)
+        told = [e for e in told if e.name not in replaced] + [
+            replace(e, gone=True) for e in replaced.values()
+        ]
         for endpoint in told:
             known = self.endpoints.get(endpoint.name)
             gone = endpoint.gone
@@ -605,6 +610,31 @@
             self._listed()
         self._post(api.ListKnown(how, version, tuple(lines)), at_once=True)
 
+    def _replaced(self, told: list[Endpoint]) -> dict[str, Endpoint]:
+        """Endpoints that are gone whatever is listed: one of another destination is at their address now.
+
+        By name, out of those `told` and those known before. The later one of an address was started later; of
+        two that were started at one time it is the one that is told of that address for the first time. Mail
+        names the destination in each session, so its endpoints may share an address.
+        """
+        known = {e.name: e.address for e in self.endpoints.values()}
+        news = {e.name: e for e in told if known.get(e.name) != e.address and e.carrier == "platform"}
+        if not news:
+            return {}
+        listed = [e for e in [*self._told_now(), *told] if e.carrier == "platform"]
+        older = [e for e in listed if e.name not in news]
+        latest: dict[tuple[str, int], Endpoint] = {}
+        for endpoint in [*older, *news.values()]:
+            held = latest.get(endpoint.address)
+            if not endpoint.gone and (held is None or endpoint.born_ms >= held.born_ms):
+                latest[endpoint.address] = endpoint
+        as_told = {endpoint.name: endpoint for endpoint in older} | news
+        return {
+            name: endpoint
+            for name, endpoint in as_told.items()
+            if endpoint.address[1] and not endpoint.gone and latest[endpoint.address].dest != endpoint.dest
+        }
+
     def ban(self, names: frozenset[str]) -> None:
         """Operators' bans as they now stand: those whose state changes are told to the module anew."""
         changed, self.banned = names ^ self.banned, names
@@ -852,6 +882,7 @@
             known is not None
             and listed
             and known.address == endpoint.address
+            and known.dest == endpoint.dest
             and (known.name not in self.banned)
         )
 
--- a/ashvale/lab/disk.py
+++ b/ashvale/lab/disk.py
@@ -55,6 +55,9 @@
         found = self.files.get(path.name)
         return (b"", None) if found is None else (bytes(found), 0.0)
 
+    def read_from(self, path: Path, at: int) -> bytes:
+        return bytes(self.files.get(path.name, b"")[at:])
+
     def size(self, path: Path) -> int:
         return len(self.files.get(path.name, b""))
 
--- a/ashvale/net/platform.py
+++ b/ashvale/net/platform.py
@@ -17,6 +17,7 @@
 from ashvale import interface as api
 from ashvale.exchange import DELIVERED, FAILED, REFUSED_MS, RETURNED, Command, Exchange, Refusal
 from ashvale.journal import Entry
+from ashvale.journal_follower import OWED
 from ashvale.loop import (
     FOREVER,
     Address,
@@ -278,7 +279,7 @@
         if (state := self._past.get(command.id)) is not None:
             return (202 if state == DELIVERED else 409), [], None
         if (state := self.exchange.state_beside("platform", command.id)) is not None:
-            return (202 if state in ("", DELIVERED) else 409), [], None
+            return (202 if state in (OWED, DELIVERED) else 409), [], None
         if not self.exchange.serves(command.dest):
             self.exchange.refuse(command, "no such destination")
             if self.exchange.listed:
--- a/ashvale/repeats.py
+++ b/ashvale/repeats.py
@@ -8,6 +8,7 @@
 from ashvale.interface import Effect
 from ashvale.state import Message
 
+ADVICE_MS = 1000.0  # when to come back with a message that was given up
 REPEAT_MS, REPEAT_PART = 150.0, 0.05  # kept free at the end of a window: so much, or this part of it
 
 
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -10,6 +10,8 @@
 
 NEVER = -1e12
 """A time before every other."""
+SAMPLES, MARKS = 100, 8
+"""Latencies kept for margin and usual time; outcomes kept for health."""
 
 
 @dataclass(eq=False)
@@ -78,6 +80,19 @@
     rests_until: float = NEVER  # nothing goes to it before, as its table was full
     unconnected: bool = False  # the last failure was a connection that did not come about
 
+    def leave(self, dest: Destination) -> None:
+        """Nothing new goes to it any more; its calls out are still followed."""
+        self.ready = False
+        dest.endpoints.remove(self)
+        self.lane.endpoints.remove(self)
+
+    def joins(self, now: float) -> bool:
+        """Tell whether a call leaves for it this very moment, with room for one more message."""
+        # While others serve, a trial risks one message.
+        one = self.out_since is not None and any(x.ready and x.out_since is None for x in self.lane.endpoints)
+        most = 1 if one else self.kind.per_call
+        return bool(self.calls and self.calls[-1].sent == now and self.calls[-1].members < most)
+
 
 @dataclass(eq=False)
 class Recovery:
