--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -522,7 +522,7 @@
         """Set when the next trial or probe may go, of all endpoints that share the limit."""
         # Guards what returns against trials of many: their pauses grow with the outage, and add up to a part.
         pause = 1e18 if self.many else (now - (e.out_since or now)) / self.slow_start.cold_part
-        pause = max(self.first_ms, min(pause, self._pace(e, 0.0, now) / len(e.lane.endpoints)))
+        pause = max(self.first_ms, min(pause, self._pace(e, 0.0, now) / max(1, len(e.lane.endpoints))))
         at = now + pause * self.random.uniform(*((0.0, 2.0) if self.many else (0.5, 1.5)))
         for kin in e.lane.endpoints:
             kin.trial_at = max(kin.trial_at, at)
--- a/ashvale/journal_follower.py
+++ b/ashvale/journal_follower.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import zlib
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +19,7 @@
 IDS_MOST = 8192  # the oldest go first
 LAST_SIZE = 64  # bytes by which a file is known again
 OWED, MAY_HAVE_RUN = "", "failed"  # states besides those that a journal's `DECIDED` names
+log = logging.getLogger(__name__)
 
 
 @dataclass
@@ -67,7 +69,10 @@
             payload = data[at + FRAME_HEAD.size : at + FRAME_HEAD.size + size]
             if len(payload) != size or zlib.crc32(payload) != check:
                 break  # it is being written
-            self._apply(kind, payload)
+            try:
+                self._apply(kind, payload)
+            except (KeyError, TypeError, ValueError) as error:  # whole, and of another version
+                log.error("record of the other process not read", extra={"kind": kind, "why": str(error)})
             at += FRAME_HEAD.size + size
         self._at += at - begin
         self._last = data[max(0, at - LAST_SIZE) : at]
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from ashvale import interface as api
-from ashvale.interface import Readiness
+from ashvale.interface import Outcome, Readiness
 from ashvale.lab.stand_ins import Endpoint
 from tests.rulebook import Driver
 from tests.samples import line, listed, settings
@@ -47,7 +47,7 @@
 
 def test_an_endpoint_that_comes_again_for_another_destination_gets_none_of_the_old_work() -> None:
     """Guards against calls in the wrong place where a name comes again (issue 59, picture d)."""
-    driver = Driver(settings())
+    driver = Driver(settings(forwarders=40))
     driver.feed(listed(line("a")))
     message(driver, 1)
     driver.feed(listed(replace(line("a"), destination=2), how=api.ListKind.DELTA))
@@ -55,5 +55,7 @@
     message(driver, 3, dest=2)
     driver.until(500.0)
     assert [len(driver.owed[number].attempts) for number in (1, 2, 3)] == [1, 0, 1]
+    driver.settle(1, 0, Outcome.CONNECT_FAILED)  # the call that was out is still followed
+    assert len(driver.owed[1].attempts) == 1
     driver.feed(listed(line("a", 2, ready=Readiness.GONE), how=api.ListKind.DELTA))
     driver.close()
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import socket
+from pathlib import Path
 
 import pytest
 
 from ashvale import config
 from ashvale.courier import Courier
+from ashvale.journal import Entry, Journal
+from ashvale.journal_records import TAKEN, frame
 from ashvale.lab.stand_ins import HERE, answer
 from ashvale.loop import Broken, Connection, Coroutine
 from tests.stage import Scene, request, scene
@@ -138,3 +141,15 @@
         s.until(lambda: not server.listener.open)
         s.rest(100.0)
         assert not endpoint.calls and s.courier.exchange.idle
+
+
+def test_a_record_of_the_other_process_that_is_not_understood_costs_only_itself(tmp_path: Path) -> None:
+    """Guards new messages in an upgrade from another version: a record of its journal may be unlike ours."""
+    old = Journal(tmp_path, 400_000)
+    new = Journal(tmp_path, 400_000)
+    with (tmp_path / "journal").open("ab") as file:
+        file.write(frame(TAKEN, b"\xff\xff\xff\xff{}") + frame(99, b""))
+    old.take(Entry(0, "m1", "platform", "order", "1", "home", "", 9e12, b"x"))
+    assert new.state_beside("platform", "m1") == "" and new.state_beside("platform", "m2") is None
+    old.close()
+    new.close()
