--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,9 @@
-"""A restart that brings a configuration with one more zone, while keyed messages may have run."""
+"""A partner fails, its endpoint is taken out for a restart and called back: what it gets while it is cold."""
 
 from __future__ import annotations
 
+import math
+import socket
 import sys
 import threading
 import time
@@ -12,73 +14,183 @@
 from kit2 import (
     BROKEN,
     HELD,
+    HERE,
     TROUBLE,
     CannotRun,
     Client,
     Courier,
     Discovery,
-    Endpoint,
     Record,
-    Request,
-    delivered,
+    TcpServer,
+    free_port,
+    http,
+    leuven_main,
     main,
-    once_only,
-    until,
+    read_request,
+    response,
 )
 
-PARTNER, WINDOW_S, WORK_S = 3, 2.0, 0.25
-MESSAGES = 8
+PARTNER, COURIERS = 1, 3
+CAPACITY, TOLD = 10.0, 1.45  # calls a second; the list's rough figure is "up to half too high or too low"
+WORK_S, WAITING, CONNECTIONS = 0.15, 6, 16
+COLD, WARM_S, FACTOR, FALL_S = (
+    0.19,
+    11.0,
+    2.0,
+    3.0,
+)  # contract: cold_share, warm_up, overload_factor, overload_for
+FAILS_S, REFUSES_S, DOWN_S = 1.5, 2.5, 6.0  # it fails, refuses, and is taken out; in all 6.2 to 16 s
+TRAFFIC = 0.8  # of its capacity
+
+
+class Partner:
+    """One endpoint of kind `small-mvno`: its capacity, a short queue and few connections are all its limits.
+
+    What comes above them is turned away with 503. Each courier dials a port of its own.
+    """
+
+    def __init__(self, record: Record) -> None:
+        self.record, self.lock = record, threading.Lock()
+        self.state, self.back_at, self.busy_until = "up", -1e9, 0.0
+        self.connections = 0
+        self.calls: list[tuple[float, int]] = []  # since it is back: when, and from which courier
+        self.told: set[int] = set()  # couriers that had a call fail while it was out
+        self.ports = [Port(self, number) for number in range(COURIERS)]
+
+    def share(self, at: float) -> float:
+        """How much of its capacity it has at a time: from COLD, evenly, to all of it."""
+        return min(1.0, COLD + (1.0 - COLD) * (at - self.back_at) / WARM_S)
+
+    def begin(self, courier: int, known: bool) -> tuple[int, float]:
+        """A call has come: the status that it gets, and after how long."""
+        with self.lock:
+            now = time.monotonic()
+            if self.state == "fails":
+                self.told.add(courier)
+                return 500, 0.05
+            self.calls.append((now, courier))
+            start = max(now, self.busy_until)
+            rate = CAPACITY * self.share(now)
+            if not known or (start - now) * rate > WAITING:
+                return 503, 0.0
+            self.busy_until = start + 1.0 / rate
+            return 200, start - now + WORK_S
+
+    def worst(self) -> tuple[float, int, float]:
+        """The window with the most calls for what it bears: the part of that, the calls, what it bears."""
+        found = (0.0, 0, 0.0)
+        for at, _ in self.calls:
+            count = sum(at <= other < at + FALL_S for other, _ in self.calls)
+            n = FACTOR * CAPACITY * sum(self.share(at + FALL_S * k / 100) for k in range(100)) * FALL_S / 100
+            bears = n + 2 * math.sqrt(n) + 2 if n >= 30 else n + 3 * math.sqrt(n) + 3
+            found = max(found, (count / bears, count, bears))
+        return found
+
+
+class Port(TcpServer):
+    """Where one courier dials the endpoint."""
+
+    def __init__(self, partner: Partner, number: int) -> None:
+        self.partner, self.number = partner, number
+        self.open: set[socket.socket] = set()
+        super().__init__()
+
+    def down(self) -> None:
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in list(self.open):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def up(self) -> None:
+        self.listener = socket.create_server((HERE, self.port), backlog=256)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        partner = self.partner
+        with partner.lock:
+            known = partner.connections < CONNECTIONS
+            partner.connections += 1
+        self.open.add(sock)
+        try:
+            with sock.makefile("rb") as file:
+                while (request := read_request(file)) is not None:
+                    status, after = partner.begin(self.number, known)
+                    if after:
+                        time.sleep(after)
+                    close = not known or request.headers.get("connection", "").lower() == "close"
+                    id = request.headers["request-id"]
+                    partner.record(f"partner: {id} of n{self.number} answered {status}")
+                    sock.sendall(response(status, close=close))
+                    if close:
+                        return
+        finally:
+            self.open.discard(sock)
+            with partner.lock:
+                partner.connections -= 1
 
 
 def case(record: Record, place: Path, couriers: list[Courier]) -> int:
-    discovery = Discovery(record)
-    lock = threading.Lock()
-    seen: dict[tuple[str, str], float] = {}  # by zone and key: when it ran there first
-    runs: dict[str, list[str]] = {}  # by message: where it took effect
-
-    def partner(zone: str):
-        def work(endpoint: Endpoint, request: Request, parts: list[tuple[str, str, bytes]]) -> bytes:
-            """Runs each message, but drops a repeat of its key in this zone for as long as the site says."""
-            with lock:
-                for id, key, _ in parts:
-                    began = seen.setdefault((zone, key), time.monotonic())
-                    if time.monotonic() - began > WINDOW_S or id not in runs or zone not in runs[id]:
-                        runs.setdefault(id, []).append(zone)
-                        record(f"{endpoint.name}: {id} takes effect in {zone}")
-                    else:
-                        record(f"{endpoint.name}: {id} is a repeat, dropped")
-            time.sleep(WORK_S)
-            return delivered(request, parts)
-
-        return work
-
-    for zone in ("east", "west"):
-        endpoint = Endpoint(f"{zone}-1", record, partner(zone))
-        discovery.list(endpoint.name, endpoint.dial, PARTNER, "edge", zone, 20.0)
-    courier = Courier(record, place / "n0", "n0", discovery)
-    couriers.append(courier)
-    courier.settings = once_only()
-    courier.start()
-    client = Client(record, "north")
-    for _ in range(MESSAGES):
-        client.hand_in(courier, "ticket", PARTNER, 12000)
-    if not until(lambda: "west" in [zone for zones in runs.values() for zone in zones], 3.0):
-        raise CannotRun("no message was sent to west")
-    if TROUBLE != "0":
-        courier.kill()
-        if TROUBLE != "restart":  # that value: the same restart with the configuration as it was
-            courier.settings = once_only() | {"zones": ["north", "east", "west"]}
-            courier.settings["family_info"]["zone_fee"] = [0.0, 0.0, 0.0]
-            record("configuration: zones are now north, east, west")
-        time.sleep(0.6)
+    partner = Partner(record)
+    doors, clients, over = [], [], threading.Event()
+    for number, port in enumerate(partner.ports):
+        discovery = Discovery(record)  # `dial` may vary between couriers
+        discovery.list("mvno-1", port.dial, PARTNER, "small-mvno", "building-a", CAPACITY * TOLD)
+        doors.append(free_port())
+        courier = Courier(record, place / f"n{number}", f"n{number}", discovery)
+        courier.environ["LB_OPERATOR"] = f"{HERE}:{doors[-1]}"
+        couriers.append(courier)
+        courier.settings = leuven_main() | {"peers_total": COURIERS, "slot_no": number}
         courier.start()
-    time.sleep(8.0)
-    twice = {id: zones for id, zones in runs.items() if len(zones) > 1}
-    for id, zones in twice.items():
-        record(f"broken: {id} took effect {len(zones)} times: {', '.join(zones)}")
-    if not client.taken:
-        raise CannotRun("nothing was taken on")
-    return BROKEN if twice else HELD
+        clients.append(Client(record, "kempen-mobiel"))
+
+    def traffic(number: int) -> None:
+        while not over.wait(COURIERS / (TRAFFIC * CAPACITY)):
+            clients[number].hand_in(couriers[number], "rate-update", PARTNER, 28000)
+
+    for number in range(COURIERS):
+        threading.Thread(target=traffic, args=(number,), daemon=True).start()
+    time.sleep(4.0)
+
+    def call(what: str) -> None:
+        for number, door in enumerate(doors):
+            status = http(door, "POST", f"/endpoints/mvno-1/{what}", b" ")
+            record(f"operator: POST /endpoints/mvno-1/{what} at n{number}: {status}")
+            if status != 200:
+                raise CannotRun(f"{what} was answered {status}")
+
+    if TROUBLE != "0":
+        record("partner: fails all calls")
+        partner.state = "fails"
+        time.sleep(FAILS_S)
+        record("partner: refuses connections")
+        for port in partner.ports:
+            port.down()
+        time.sleep(REFUSES_S)
+        if TROUBLE != "outage":  # that value: the same outage, and nobody calls
+            call("maint")
+        time.sleep(DOWN_S)
+        with partner.lock:
+            partner.state, partner.back_at, partner.busy_until = "up", time.monotonic(), 0.0
+            partner.calls.clear()
+        for port in partner.ports:
+            port.up()
+        record("partner: is back, and cold")
+        if TROUBLE != "outage":
+            call("ready")
+    time.sleep(WARM_S + FALL_S)
+    over.set()
+    part, count, bears = partner.worst()
+    record(f"couriers that had a call fail: {sorted(partner.told)}; calls since: {len(partner.calls)}")
+    record(f"most calls in {FALL_S:.0f} s: {count}; it falls at more than {bears:.1f}")
+    if TROUBLE != "0" and len(partner.told) < COURIERS:
+        raise CannotRun("not all couriers had a call fail")
+    if part > 1.0:
+        record("broken: it is pushed over, by couriers that all saw it fail")
+        return BROKEN
+    return HELD
 
 
 main(case, Path(__file__).resolve().parent)
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -27,7 +27,6 @@
 
 HERE = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
-BODY_MOST = 64 * 1024  # PROTOCOL: "A body holds at most 64 KiB"
 TROUBLE = os.environ.get("TROUBLE", "1")
 HELD, BROKEN, CANNOT = 0, 1, 2
 
@@ -609,3 +608,73 @@
     settings["report"] = {"fields": ["x0", "x1"], "source": "inline"}
     settings["zones"] = ["lisboa-1"]
     return settings
+
+
+# Couriers that agree (docs/fleet.md), with the times that are in force where the file names none.
+
+FLEET = "west"
+
+
+class FleetCourier(Courier):
+    """A courier of a fleet, with an operator's door."""
+
+    def __init__(self, record: Record, folder: Path, name: str, discovery: Discovery) -> None:
+        super().__init__(record, folder, name, discovery)
+        self.peers, self.door = free_port(), free_port()
+        self.environ |= {"LB_OPERATOR": f"{HERE}:{self.door}", "ASHVALE_SETTINGS": str(folder / "own.toml")}
+
+    def join(self, all_of_them: list[FleetCourier]) -> None:
+        """Write the operator's own file: who is of the fleet, all of them voters."""
+        peers = "".join(
+            f'[[fleet.peer]]\nname = "{c.name}"\naddress = "{HERE}:{c.peers}"\nvotes = true\n'
+            for c in all_of_them
+        )
+        (self.folder / "own.toml").write_text(f'[fleet]\nname = "{FLEET}"\ncourier = "{self.name}"\n{peers}')
+
+    def status(self) -> dict[str, Any]:
+        """What `ashvale fleet status` shows."""
+        opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+        try:
+            with opener.open(f"http://{HERE}:{self.peers}/fleet/1/{FLEET}/status", timeout=1.0) as answer:
+                told = json.loads(answer.read())
+        except (OSError, ValueError):
+            return {}
+        return told if isinstance(told, dict) else {}
+
+    def order(self, what: str, **order: Any) -> tuple[int, dict[str, Any]]:
+        """An order at this courier, as `ashvale fleet` gives it."""
+        body = json.dumps({"who": "on call", "why": "rehearsal"} | order).encode()
+        request = urllib.request.Request(
+            f"http://{HERE}:{self.peers}/fleet/1/{FLEET}/{what}", data=body, method="POST"
+        )
+        opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+        try:
+            with opener.open(request, timeout=8.0) as answer:
+                status, told = answer.status, json.loads(answer.read())
+        except urllib.error.HTTPError as error:
+            status, told = error.code, json.loads(error.read() or b"{}")
+        self.record(f"operator: {what} {order} at {self.name}: {status} {told.get('why', '')}")
+        return status, told
+
+
+def fleet(record: Record, place: Path, discovery: Discovery, count: int = 3) -> list[FleetCourier]:
+    """Couriers that know one leader and see each other serve."""
+    made = [FleetCourier(record, place / f"c{n}", f"c{n}", discovery) for n in range(count)]
+    for courier in made:
+        courier.join(made)
+        courier.settings = leuven_main()
+        courier.limits["disk_mb"] = 8
+    return made
+
+
+def agreed(couriers: list[FleetCourier]) -> FleetCourier | None:
+    """The leader, once all know it and see all others serve."""
+    told = [courier.status() for courier in couriers]
+    leaders = {status.get("leader", "") for status in told}
+    seen = all(m["status"] == "serving" for status in told for m in status.get("members", [{"status": ""}]))
+    if len(leaders) != 1 or not seen or not all(status.get("members") for status in told):
+        return None
+    name = leaders.pop()
+    return next(
+        (c for c, s in zip(couriers, told, strict=True) if c.name == name and s["role"] == "leader"), None
+    )
