--- a/review/kit2.py
+++ b/review/kit2.py
@@ -29,6 +29,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1")
 HELD, BROKEN, CANNOT = 0, 1, 2
+LONGEST_S = 110  # a case is given up then, and ends what it started
 
 
 class CannotRun(Exception):
@@ -422,6 +423,13 @@
     """Run a case: 0 where the rule held, 1 where it was broken, 2 where the case could not run."""
     record, couriers = Record(), list[Courier]()
     record(f"TROUBLE={TROUBLE}")
+
+    def stop(number: int, _frame: object) -> None:
+        raise CannotRun(f"stopped by {signal.Signals(number).name}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(LONGEST_S)
     code = CANNOT
     with tempfile.TemporaryDirectory(prefix="ashvale-review-") as place:
         try:
