Keep what is known of an outage with the destination when its endpoints leave

Cause: with up to four couriers the outage and the warm-up were state of the Endpoint alone, and so they were for routes apart with any number, whose Recovery was the lane's. An endpoint that leaves (banned, draining, gone, left out of a list) takes them with it; what comes back begins as new and well. Recovery, which outlasts endpoints, counted failures only with more than four couriers.

Change: Recovery counts in a fleet of any size, and holds back only where it did. A newcomer with no kin in service takes over what Recovery knows; Destination keeps that of routes apart that left cold or silenced, at most 64, and forgets it once they are warm. Told waits go the same way.

Evidence: ashvale/lab/outages.py has endpoints that leave and come back and routes apart.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -16,7 +16,7 @@
 from ashvale.pacing import LOSSY_MS, MISHAP_MS, OVERDUE, RATE_MS, SHUT_MS, WINDOW_MS, failing, gate, overdue
 from ashvale.repeats import ADVICE_MS, may_refuse, repeat_by
 from ashvale.slow_start import SlowStart
-from ashvale.state import MARKS, SAMPLES, Call, Destination, Endpoint, Lane, Message
+from ashvale.state import MARKS, SAMPLES, Call, Destination, Endpoint, Lane, Message, Recovery
 from ashvale.tenants import TenantShares
 
 MARGIN_MS = (30.0, 40.0, 50.0)  # least, first and largest margin
@@ -131,7 +131,7 @@
         for endpoint in self.endpoints.values():
             endpoint.ready = endpoint.ready and event.how is api.ListKind.DELTA
         for line in (x for x in event.lines if x.target in self.endpoints or x.readiness is Readiness.READY):
-            endpoint = self._known(line) or self._add(line, now)
+            endpoint = self._known(line, now) or self._add(line, now)
             endpoint.ready, self.dirty[line.destination] = line.readiness is Readiness.READY, None
             if self.s.listed_rates and line.rate > 0 and endpoint.lane.total <= 0:
                 self._told(endpoint.lane, line.rate)
@@ -143,15 +143,14 @@
                 self._expire(m, now)
         for e in [e for e in self.endpoints.values() if not (e.ready or e.calls)]:
             del self.endpoints[e.target]
-            self.dests[e.dest].blocked_until = max(self.dests[e.dest].blocked_until, e.lane.blocked_until)
-            e.leave(self.dests[e.dest])
+            self.slow_start.left(e, self.dests[e.dest], now)
 
-    def _known(self, line: api.Listing) -> Endpoint | None:
+    def _known(self, line: api.Listing, now: float) -> Endpoint | None:
         """The endpoint that a line of the list is about; one of another destination is another endpoint."""
         endpoint = self.endpoints.get(line.target)
         if endpoint is None or endpoint.dest == line.destination:
             return endpoint
-        endpoint.leave(self.dests[endpoint.dest])
+        self.slow_start.left(endpoint, self.dests[endpoint.dest], now)
         return None
 
     def _add(self, line: api.Listing, now: float) -> Endpoint:
@@ -162,15 +161,16 @@
         new = kind.routes_apart or not dest.endpoints
         lane = Lane(usual, MARGIN_MS[1], deque(maxlen=SAMPLES)) if new else dest.endpoints[0].lane
         lane.least = 1 + int(2.5 * self.many)  # guards one of many against waiting for turns that nobody uses
-        if new and not kind.routes_apart:  # guards a told wait against a list that changes all endpoints
-            lane.blocked_until = dest.blocked_until
-        if not kind.routes_apart:
-            lane.recovery = dest.recovery
+        lane.recovery = dest.routes.pop(line.target, Recovery()) if kind.routes_apart else dest.recovery
+        lane.blocked_until = max(lane.blocked_until, lane.recovery.blocked_until)
         fee = fees[line.zone] if line.zone < len(fees) else 0.0
         e = Endpoint(line.target, line.zone, line.destination, kind, fee, lane, deque(maxlen=MARKS))
         self.endpoints[line.target] = e
-        for kin in lane.endpoints:  # guards fail-back: a newcomer shares the trouble of its kin
-            e.ramp_from, e.out_since = kin.ramp_from, kin.out_since
+        # Guards fail-back: a newcomer shares the trouble of its kin, or of those that left.
+        if kin := [x for x in lane.endpoints if x.ready]:
+            e.ramp_from, e.out_since = kin[-1].ramp_from, kin[-1].out_since
+        else:
+            self.slow_start.inherit(e, now)
         dest.endpoints.append(e)
         lane.endpoints.append(e)
         self._next_trial(e, now)
@@ -442,7 +442,7 @@
             e.unconnected = outcome is Outcome.CONNECT_FAILED
             self.crowded |= {e.kind} if e.unconnected else set()  # until it proves to be an outage
             # Guards against calls lost at random, or very long: one that a later call overtook is no sign.
-            if call.sent > e.ok_sent and not lossy or failing(e):
+            if call.sent > e.ok_sent and not lossy or failing(e.marks):
                 self._went_out(e, now, call.sent, 0.0 if call.lost else self.many, outcome)
 
     def _told(self, lane: Lane, total: float) -> None:
@@ -537,10 +537,10 @@
         """The failing spell is over; after an outage the load returns in steps (rule four)."""
         if e.out_since is not None:
             lasted = now - e.out_since
-            health = api.Health.WARMING if lasted >= MISHAP_MS or failing(e) else api.Health.WELL
+            health = api.Health.WARMING if lasted >= MISHAP_MS or failing(e.marks) else api.Health.WELL
             self.actions.append(api.HealthChanged(e.target, e.dest, health, Outcome.OK, lasted))
             e.lossy_until = now + LOSSY_MS if now - e.out_since < MISHAP_MS else e.lossy_until
-            e.ramp_from = now if now - e.out_since >= MISHAP_MS or failing(e) else e.ramp_from
+            e.ramp_from = now if now - e.out_since >= MISHAP_MS or failing(e.marks) else e.ramp_from
             self.crowded -= {e.kind} if e.unconnected and now - e.out_since >= 2 * MISHAP_MS else set()
             for kin in [x for x in e.lane.endpoints if self.many and x.ok_sent < e.out_since and x is not e]:
                 kin.out_since, kin.ramp_from = None, e.ramp_from
--- a/ashvale/lab/outages.py
+++ b/ashvale/lab/outages.py
@@ -23,6 +23,7 @@
 SHORT_WAIT_MS, LONG_WAIT_MS = 300.0, 3000.0
 CONNECT_MS = 1000.0  # after so long a connection that never comes up is given up
 FAILED_MS, ANSWER_MS = 1.0, 40.0
+TAKEN_MS = 3000.0  # so long after the outage's begin all endpoints are out of service
 MOST = 0.7  # share of calls that fail where most do
 UNEVEN = 4.0  # what the busiest tenth of couriers get, over the mean
 BATCH = 6  # messages that come together
@@ -66,11 +67,15 @@
 
 
 class Endpoints(enum.Enum):
-    """When the partner's endpoints are replaced."""
+    """When the partner's endpoints are replaced, or are out of service for a while."""
 
     STAY = "stay"
     REPLACED_OUT = "replaced while out"
     REPLACED_RAMP = "replaced while it warms up"
+    BANNED_OUT = "taken out while out, called back at the return"
+    BANNED_RAMP = "taken out and called back while it warms up"
+    UNLISTED_OUT = "left out of the list while out, listed again at the return"
+    RENAMED_OUT = "gone while out, others listed at the return"
 
 
 @dataclass(frozen=True)
@@ -87,6 +92,7 @@
     rate: float = 4.0
     restarted: float = 0.0  # share of the couriers that restart in the outage
     quiet_ms: float = 10_000.0  # how long all was well before the outage
+    routes_apart: bool = False  # each endpoint is a route with a limit of its own; with one endpoint alone
     seed: int = 1
 
     @property
@@ -109,10 +115,19 @@
         start, end = play.outage
         for courier in range(round(play.restarted * play.couriers)):
             self._at(self.random.uniform(start + 2000.0, end), partial(self.restart, courier))
-        if play.change is not Endpoints.STAY:
-            first = start + 1000.0 if play.change is Endpoints.REPLACED_OUT else end + 1000.0
-            for place in range(play.endpoints):
-                self._at(first + 1500.0 * place / play.endpoints, partial(self._replace, place))
+        self._schedule_change()
+
+    def _schedule_change(self) -> None:
+        """Plan what becomes of the endpoints."""
+        change, (start, end) = self.play.change, self.play.outage
+        if change in (Endpoints.REPLACED_OUT, Endpoints.REPLACED_RAMP):
+            first = start + 1000.0 if change is Endpoints.REPLACED_OUT else end + 1000.0
+            for place in range(self.play.endpoints):
+                self._at(first + 1500.0 * place / self.play.endpoints, partial(self._replace, place))
+        elif change is not Endpoints.STAY:
+            warming = change is Endpoints.BANNED_RAMP
+            self._at(end + 1000.0 if warming else start + TAKEN_MS, self._take_out)
+            self._at(end + 2500.0 if warming else end, self._call_back)
 
     def _at(self, when: float, action: Callable[[], None]) -> None:
         self._later(when - self.now, action)
@@ -129,7 +144,7 @@
             overload_for_ms=3000.0,
             max_attempts=8,
             listed_rates=self.play.told is not Rate.UNLISTED,
-            kinds=(api.Kind("any", per_call=BATCH if self.play.shape is Load.BATCHES else 1),),
+            kinds=(api.Kind("any", BATCH if self.play.shape is Load.BATCHES else 1, self.play.routes_apart),),
         )
         return super()._new_controller()
 
@@ -142,14 +157,30 @@
     def _tell_list(self, courier: int) -> None:
         self._tell(courier, api.ListKnown(api.ListKind.FULL, 1, self._lines()))
 
+    def _tell_all(self, event: api.Event) -> None:
+        """Couriers hear of it within 0.3 s of each other."""
+        for courier in range(len(self.couriers)):
+            self._later(self.random.uniform(0.0, 300.0), partial(self._tell, courier, event))
+
+    def _take_out(self) -> None:
+        """All endpoints go out of service, as a list or an operator tells."""
+        if self.play.change in (Endpoints.BANNED_OUT, Endpoints.BANNED_RAMP):
+            self._tell_all(api.ListKnown(api.ListKind.DELTA, 2, self._lines(api.Readiness.DRAINING)))
+        else:
+            self._tell_all(api.ListKnown(api.ListKind.FULL, 2))
+
+    def _call_back(self) -> None:
+        """All endpoints, or others in their place, are in service again."""
+        if self.play.change is Endpoints.RENAMED_OUT:
+            self.names = [f"{name}-new" for name in self.names]
+        self._tell_all(api.ListKnown(api.ListKind.DELTA, 3, self._lines()))
+
     def _replace(self, place: int) -> None:
-        """One endpoint goes and another takes its place; couriers hear of it within 0.3 s of each other."""
+        """One endpoint goes and another takes its place."""
         old, self.names[place] = self.names[place], f"endpoint-{place}-new"
         gone = api.Listing(old.encode(), 1, rate=self._rate(), readiness=api.Readiness.GONE)
         new = api.Listing(self.names[place].encode(), 1, rate=self._rate())
-        event = api.ListKnown(api.ListKind.DELTA, 2, (gone, new))
-        for courier in range(len(self.couriers)):
-            self._later(self.random.uniform(0.0, 300.0), partial(self._tell, courier, event))
+        self._tell_all(api.ListKnown(api.ListKind.DELTA, 2, (gone, new)))
 
     def _offer(self) -> None:
         """Hand a message, or several, to a courier; for a backlog, twice as many while the partner is out."""
--- a/ashvale/pacing.py
+++ b/ashvale/pacing.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ashvale.state import Endpoint, Lane
 
 WINDOW_MS = 2000.0  # the ring's window: as long as the fixed spans that limits are commonly counted in
@@ -29,6 +31,6 @@
     return sum(e.ok_sent < c.sent < now - OVERDUE * e.lane.usual for c in e.calls)
 
 
-def failing(e: Endpoint) -> bool:
+def failing(marks: deque[bool]) -> bool:
     """Tell that most recent calls failed, so what comes back comes back cold."""
-    return len(e.marks) >= 4 and 2 * e.marks.count(False) > len(e.marks)
+    return len(marks) >= 4 and 2 * marks.count(False) > len(marks)
--- a/ashvale/slow_start.py
+++ b/ashvale/slow_start.py
@@ -1,8 +1,9 @@
 """Slow start: what may go to a destination whose calls fail, or that has just come back from an outage.
 
 All couriers of a fleet share what a destination bears then, and none knows of the others. Each keeps to its
-own part of that, counted over all endpoints of the destination, whatever sign its calls failed by. Times are
-milliseconds on the caller's clock, rates are calls a millisecond.
+own part of that, counted over all endpoints of the destination, whatever sign its calls failed by. What is
+known of an outage outlasts the endpoints, in a fleet of any size. Times are milliseconds on the caller's
+clock, rates are calls a millisecond.
 """
 
 from __future__ import annotations
@@ -11,19 +12,20 @@
 
 from ashvale import interface as api
 from ashvale.interface import Outcome
-from ashvale.pacing import MISHAP_MS, RAMP_SHARE, RATE_MS, SHUT_MS, SPARE
+from ashvale.pacing import MISHAP_MS, RAMP_SHARE, RATE_MS, SHUT_MS, SPARE, failing
 from ashvale.state import NEVER, Call, Destination, Endpoint, Lane, Recovery
 
 FEW = 4.0  # forwarders that need no budget of their own: each sees enough of an outage
 FIRST_RETRY_MS = 5000.0  # most of the mean pause before a trial, while one failure alone is known
 DOUBTFUL = 0.5  # how warm a destination is taken to be after one failure that may have been a passing one
 STREAK = 2  # failures in a row from which on the destination is held to be out
+ROUTES_MOST = 64  # routes apart that left a destination cold and are remembered: the latest
 NO_PACE = 1e18  # where nothing is known of a destination's rate
 _SAYS_NOTHING = (Outcome.CANCELLED, Outcome.MOOT, Outcome.CROWDED)
 
 
 class SlowStart:
-    """The part of one forwarder of many; for a few forwarders it lets everything go."""
+    """The part of one forwarder of many. For a few it holds nothing back, but remembers all the same."""
 
     def __init__(self, settings: api.Settings, random: Random) -> None:
         self._random = random
@@ -57,16 +59,17 @@
 
     def opens(self, recovery: Recovery, now: float) -> float:
         """Return when the next call may go; past times mean now."""
-        return recovery.opens_at if self._grown(recovery, now) < 1.0 else NEVER
+        return recovery.opens_at if self.many and self._grown(recovery, now) < 1.0 else NEVER
 
     def out(self, recovery: Recovery, now: float) -> bool:
         """Tell whether the destination is held to be out: a passing failure is none."""
-        return recovery.failures >= STREAK and now - recovery.failing_since >= MISHAP_MS
+        lasted = now - recovery.failing_since
+        return bool(self.many) and recovery.failures >= STREAK and lasted >= MISHAP_MS
 
     def went(self, e: Endpoint, dest: Destination, now: float) -> None:
         """A call, or a probe, goes now."""
         recovery, grown = e.lane.recovery, self._grown(e.lane.recovery, now)
-        if grown >= 1.0:
+        if not self.many or grown >= 1.0:
             return
         pause = self.pace(e.lane, dest, grown, now)
         if recovery.failures:
@@ -84,6 +87,8 @@
             self._succeeded(e.lane.recovery, call.sent, now, pace)
         elif outcome not in _SAYS_NOTHING and not call.failed:
             call.failed = True
+            if outcome is not Outcome.FULL or wait > SHUT_MS:
+                e.lane.recovery.marks.append(False)
             others = any(x is not e and x.ready and x.out_since is None for x in e.lane.endpoints)
             passing = others and outcome is not Outcome.FULL
             self._failed(e.lane.recovery, call.sent, now + max(0.0, wait), pace, passing)
@@ -101,6 +106,31 @@
         pace = self.pace(dest.endpoints[0].lane, dest, 0.0, now) if dest.endpoints else NO_PACE
         self._failed(recovery, now, now, pace, False)
 
+    def left(self, e: Endpoint, dest: Destination, now: float) -> None:
+        """An endpoint is gone. A route apart that is cold, or silenced by a wait, is remembered."""
+        e.leave(dest)
+        if e.lane.recovery is dest.recovery:
+            return
+        dest.routes[e.target] = e.lane.recovery
+        cold = [t for t, r in dest.routes.items() if self._remembers(r, now) or (t == e.target and e.calls)]
+        dest.routes = {target: dest.routes[target] for target in cold[-ROUTES_MOST:]}
+
+    def inherit(self, e: Endpoint, now: float) -> None:
+        """Give an endpoint with no kin in service the health in which its destination was left."""
+        recovery = e.lane.recovery
+        e.ramp_from = recovery.warm_from
+        if recovery.failures:
+            e.out_since = recovery.failing_since
+        elif failing(recovery.marks):
+            e.out_since = now - MISHAP_MS
+        if e.out_since is not None:
+            e.marks.extend(recovery.marks)
+
+    def _remembers(self, recovery: Recovery, now: float) -> bool:
+        """Tell whether a recovery says more than a new one."""
+        told = recovery.blocked_until > now
+        return told or self._grown(recovery, now) < 1.0 or failing(recovery.marks)
+
     def _grown(self, recovery: Recovery, now: float) -> float:
         """How far a destination is warm, from 0 to 1."""
         if recovery.failures:
@@ -119,13 +149,17 @@
             return pace
         return min(pace, self._unknown(recovery, now), FIRST_RETRY_MS)
 
+    def _was_out(self, recovery: Recovery, since: float, now: float) -> bool:
+        """Tell whether the failures since then were an outage; one of many sees too few calls to count."""
+        return now - since >= MISHAP_MS or (not self.many and failing(recovery.marks))
+
     def _shut(self, recovery: Recovery, sent: float) -> None:
         """Calls up to that send time say nothing of the destination any more, however they end."""
         recovery.shut_sent = max(recovery.shut_sent, sent)
 
     def _failed(self, recovery: Recovery, sent: float, now: float, pace: float, passing: bool) -> None:
         """Count a failure. `passing`: it may be that of one endpoint, and others are not known to fail."""
-        if not self.many or sent <= recovery.last_ok:
+        if sent <= recovery.last_ok:
             return
         recovery.failures += 1
         if recovery.failures == 1:
@@ -133,7 +167,7 @@
         elif recovery.failures == STREAK:
             # Guards against a long outage that seems short to who calls rarely.
             recovery.failing_since = min(recovery.failing_since, now - self._unknown(recovery, now))
-        if recovery.failures != STREAK and recovery.opens_at > now:
+        if not self.many or (recovery.failures != STREAK and recovery.opens_at > now):
             return  # a pause is under way
         if not passing or self.out(recovery, now):  # else a call to another endpoint tells which it is
             pause = self._trial_pause(recovery, now, pace)
@@ -143,11 +177,12 @@
         """What is sent grows from the cold pace on where the destination was out."""
         if sent <= recovery.shut_sent:
             return  # it went before the destination shut
+        recovery.marks.append(True)
         recovery.before = failures, since = recovery.failures, recovery.failing_since
         recovery.last_ok = max(recovery.last_ok, sent)
         recovery.failures = 0
-        if failures and now - since >= MISHAP_MS:
+        if failures and self._was_out(recovery, since, now):
             # One failure alone may have been a passing one, unless it told that the destination is shut.
-            warm = 0.0 if failures >= STREAK or recovery.shut_sent >= since else DOUBTFUL
-            recovery.warm_from = now - warm * self._settings.warm_up_ms
-            recovery.opens_at = now + pace * self._random.random()
+            sure = failures >= STREAK or recovery.shut_sent >= since or not self.many
+            recovery.warm_from = now - (0.0 if sure else DOUBTFUL) * self._settings.warm_up_ms
+            recovery.opens_at = now + pace * self._random.random() if self.many else NEVER
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -83,6 +83,8 @@
     def leave(self, dest: Destination) -> None:
         """Nothing new goes to it any more; its calls out are still followed."""
         self.ready = False
+        recovery = self.lane.recovery
+        recovery.blocked_until = max(recovery.blocked_until, self.lane.blocked_until)
         dest.endpoints.remove(self)
         self.lane.endpoints.remove(self)
 
@@ -96,7 +98,10 @@
 
 @dataclass(eq=False)
 class Recovery:
-    """What is known of a destination's failures, over all of its endpoints."""
+    """What is known of the failures of a destination, or route apart, over all of its endpoints.
+
+    It outlasts them: what a destination was left in, it comes back in.
+    """
 
     failures: int = 0  # in a row, with no success between
     failing_since: float = NEVER  # when they may have begun
@@ -104,6 +109,8 @@
     shut_sent: float = NEVER  # send time of the last call whose answer told that it is shut
     warm_from: float = NEVER  # when it last came back from an outage
     opens_at: float = NEVER  # nothing goes before
+    blocked_until: float = 0.0  # told by endpoints that are gone
+    marks: deque[bool] = field(default_factory=lambda: deque(maxlen=MARKS))  # as an endpoint's
     before: tuple[int, float] = field(default=(0, NEVER))  # failures and their begin before the last success
 
 
@@ -138,8 +145,8 @@
     queue: list[Message] = field(default_factory=list)
     arrivals: deque[float] = field(default_factory=lambda: deque(maxlen=64))
     look_at: float = 1e18  # when it is to be looked at again
-    blocked_until: float = 0.0  # told by endpoints that are gone
     recovery: Recovery = field(default_factory=Recovery)  # but of routes apart, which have one each
+    routes: dict[api.Target, Recovery] = field(default_factory=dict)  # of routes apart that left cold
 
     def shut_until(self) -> float:
         """Until when no endpoint lets anything go, whatever happens; past times mean now."""
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -7,7 +7,7 @@
 from ashvale import config
 from ashvale.lab.stand_ins import HERE, LONG_MS, run
 from ashvale.loop import Coroutine, connect
-from tests.stage import Scene, scene
+from tests.stage import Scene, answer, scene
 
 
 def call(s: Scene, data: bytes) -> bytes:
@@ -137,3 +137,28 @@
         assert not banned.calls and len(other.calls) == 6
         assert status(s, "POST", "/endpoints/s-1/ready") == 200
         assert courier.exchange.banned == frozenset() and not (s.folder / "bans").read_text().strip("[]")
+
+
+# Guards against review case 8: a call back from maintenance sent all that waited to a failed partner.
+@pytest.mark.parametrize("peers", (1, 6))
+@pytest.mark.parametrize("routes_apart", (False, True))
+def test_an_endpoint_that_failed_is_tried_by_one_call_when_it_is_called_back(
+    routes_apart: bool, peers: int
+) -> None:
+    info = {"max_calls": 8, "per_call": [10, 1], "routes_apart": [False, routes_apart]}
+    with scene(peers_total=peers, family_info=info, weight_kind="nominal") as s:
+        s.environ = {"LB_OPERATOR": f"{HERE}:0"}
+        endpoint = s.endpoint(answer(500), answer(500))
+        s.discovery.hosts["s-1"]["share"] = 20.0
+        s.start()
+        s.hand_in()
+        s.until(lambda: not (endpoint.script or s.courier.exchange._out))
+        assert status(s, "POST", "/endpoints/s-1/maint") == 200
+        for _ in range(6):
+            s.hand_in()
+        failed = len(endpoint.calls)
+        assert status(s, "POST", "/endpoints/s-1/ready") == 200
+        s.until(lambda: len(endpoint.calls) > failed)
+        endpoint.most_out = endpoint.out
+        s.until(lambda: not endpoint.out)
+        assert (len(endpoint.calls), endpoint.most_out) == (failed + 1, 1)
