Let no delivery from before an outage shorten it as it is taken back

The failures counted since were put back to those before that delivery, so the outage seemed to begin anew, and one that had lasted could pass for a mishap.

Cause: SlowStart.taken_back restored what the last success had ended, also where failures had been counted since that success.

Change: it restores only where the destination is held to serve.

Evidence: test_a_delivery_from_before_an_outage_that_is_taken_back_does_not_shorten_it failed before for two and for six couriers, and passes.

--- a/ashvale/slow_start.py
+++ b/ashvale/slow_start.py
@@ -100,7 +100,8 @@
 
     def taken_back(self, dest: Destination, recovery: Recovery, now: float) -> None:
         """The last success was none: that call had failed, or one of an earlier process."""
-        recovery.failures, recovery.failing_since = recovery.before
+        if not recovery.failures:  # else the outage at hand goes on
+            recovery.failures, recovery.failing_since = recovery.before
         recovery.last_ok = NEVER
         pace = self.pace(dest.endpoints[0].lane, dest, 0.0, now) if dest.endpoints else NO_PACE
         self._failed(recovery, now, now, pace, False)
--- a/tests/test_out_of_service.py
+++ b/tests/test_out_of_service.py
@@ -135,6 +135,22 @@
     until_one_is_out(driver)
 
 
+# Guards an outage against a delivery from before it that is taken back: it began anew, and seemed short.
+@pytest.mark.parametrize("forwarders", (2, 6))
+def test_a_delivery_from_before_an_outage_that_is_taken_back_does_not_shorten_it(forwarders: int) -> None:
+    driver = serving(SHARED, forwarders)
+    driver.settle(1, 0, Outcome.OK)
+    driver.until(100.0)
+    hand_in(driver, 3)
+    driver.settle(3, 0, Outcome.CONNECT_FAILED)
+    driver.until(3000.0)
+    taken_back = api.TakenBack(b"a", 0.0)
+    again = api.NewMessage(4, 0, 1, driver.now + 1000.0, attempts=1, failed=True, taken_back=taken_back)
+    driver.feed(again)
+    recovery = driver.controller.dests[1].recovery
+    assert recovery.failures and recovery.failing_since <= 100.0
+
+
 def test_what_is_remembered_of_routes_apart_is_bounded() -> None:
     driver = Driver(settings(classes=(PATIENT,), kinds=KINDS))
     names = [f"r{number}" for number in range(2 * ROUTES_MOST)]
