--- a/ashvale/lab/outages.py
+++ b/ashvale/lab/outages.py
@@ -108,6 +108,7 @@
         self.play, self.names = play, [f"endpoint-{k}" for k in range(play.endpoints)]
         limit = round(play.rate * WINDOW_MS / 1000.0)
         self._calls: dict[tuple[int, bytes, float], tuple[Outcome, float, float, bool]] = {}
+        self.listed = True  # its endpoints are in service, as the list and operators tell
         super().__init__(play.couriers, limit, play.load, play.seed)
         self.outage = play.outage
         if play.told is Rate.LOWERED:
@@ -155,7 +156,8 @@
         return tuple(api.Listing(n.encode(), 1, rate=self._rate(), readiness=readiness) for n in self.names)
 
     def _tell_list(self, courier: int) -> None:
-        self._tell(courier, api.ListKnown(api.ListKind.FULL, 1, self._lines()))
+        lines = self._lines() if self.listed else ()
+        self._tell(courier, api.ListKnown(api.ListKind.FULL, 1, lines))
 
     def _tell_all(self, event: api.Event) -> None:
         """Couriers hear of it within 0.3 s of each other."""
@@ -164,6 +166,7 @@
 
     def _take_out(self) -> None:
         """All endpoints go out of service, as a list or an operator tells."""
+        self.listed = False
         if self.play.change in (Endpoints.BANNED_OUT, Endpoints.BANNED_RAMP):
             self._tell_all(api.ListKnown(api.ListKind.DELTA, 2, self._lines(api.Readiness.DRAINING)))
         else:
@@ -173,6 +176,7 @@
         """All endpoints, or others in their place, are in service again."""
         if self.play.change is Endpoints.RENAMED_OUT:
             self.names = [f"{name}-new" for name in self.names]
+        self.listed = True
         self._tell_all(api.ListKnown(api.ListKind.DELTA, 3, self._lines()))
 
     def _replace(self, place: int) -> None:
--- a/tests/test_out_of_service.py
+++ b/tests/test_out_of_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from ashvale import interface as api
@@ -189,3 +191,18 @@
         routes_apart=routes_apart,
     )
     assert not run(play).cold.fell
+
+
+# Guards against a courier that restarts while an operator's ban holds: the new process knows of no outage.
+def test_a_restart_while_endpoints_are_out_of_service_keeps_the_outage() -> None:
+    play = Play(
+        Sign.ERROR,
+        couriers=3,
+        endpoints=1,
+        change=Endpoints.BANNED_OUT,
+        load=0.8,
+        shape=Load.BACKLOG,
+        rate=40.0,
+        restarted=1.0,
+    )
+    assert [seed for seed in range(1, 7) if run(replace(play, seed=seed)).cold.fell] == []
