Leave what comes back to many couriers to the destination's recovery alone

Cause: with more than four couriers Recovery holds calls back by itself. An endpoint that came back without kin began as out as well, which undid for refusals alone; the trials of both added up.

No play of six or twelve couriers falls, routes apart too.

--- a/ashvale/slow_start.py
+++ b/ashvale/slow_start.py
@@ -119,8 +119,9 @@
         """Give an endpoint with no kin in service the health in which its destination was left."""
         recovery = e.lane.recovery
         e.ramp_from = recovery.warm_from
-        refused = self.many > 0 and (not recovery.marks or recovery.marks[-1])  # by a limit, perhaps
-        if recovery.failures and not refused:
+        if self.many:
+            return  # its recovery alone holds calls back
+        if recovery.failures:
             e.out_since = recovery.failing_since
         elif failing(recovery.marks):
             e.out_since = now - MISHAP_MS
