Keep recent outcomes of a destination in a tuple, and take back at its own endpoints alone

Cause: a deque for each destination allocates room for 64 entries, for eight that it holds at most. And a delivery that is taken back looked its endpoint up by name alone, which may be another destination's by then.

--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -535,7 +535,7 @@
 
     def _take_back(self, dest: Destination, attempt: api.TakenBack | None, now: float) -> None:
         """An attempt had failed: what the success that was told in its place has ended goes on."""
-        e = self.endpoints.get(attempt.target) if attempt else None
+        e = next((e for e in dest.endpoints if attempt and e.target == attempt.target), None)
         left = dest.routes.get(attempt.target, dest.recovery) if attempt else dest.recovery
         recovery = e.lane.recovery if e else left
         self.slow_start.taken_back(dest, recovery, now)
--- a/ashvale/pacing.py
+++ b/ashvale/pacing.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections.abc import Sequence
 
 from ashvale.state import Endpoint, Lane
 
@@ -31,6 +31,6 @@
     return sum(e.ok_sent < c.sent < now - OVERDUE * e.lane.usual for c in e.calls)
 
 
-def failing(marks: deque[bool]) -> bool:
+def failing(marks: Sequence[bool]) -> bool:
     """Tell that most recent calls failed, so what comes back comes back cold."""
     return len(marks) >= 4 and 2 * marks.count(False) > len(marks)
--- a/ashvale/slow_start.py
+++ b/ashvale/slow_start.py
@@ -88,7 +88,7 @@
         elif outcome not in _SAYS_NOTHING and not call.failed:
             call.failed = True
             if outcome is not Outcome.FULL or wait > SHUT_MS:
-                e.lane.recovery.marks.append(False)
+                e.lane.recovery.mark(False)
             others = any(x is not e and x.ready and x.out_since is None for x in e.lane.endpoints)
             passing = others and outcome is not Outcome.FULL
             self._failed(e.lane.recovery, call.sent, now + max(0.0, wait), pace, passing)
@@ -180,7 +180,7 @@
         """What is sent grows from the cold pace on where the destination was out."""
         if sent <= recovery.shut_sent:
             return  # it went before the destination shut
-        recovery.marks.append(True)
+        recovery.mark(True)
         failures, since = recovery.failures, recovery.failing_since
         # Guards an outage against several successes that are taken back one after the other.
         if failures or now - recovery.ended_at >= MISHAP_MS:
--- a/ashvale/state.py
+++ b/ashvale/state.py
@@ -110,10 +110,14 @@
     warm_from: float = NEVER  # when it last came back from an outage
     opens_at: float = NEVER  # nothing goes before
     blocked_until: float = 0.0  # told by endpoints that are gone
-    marks: deque[bool] = field(default_factory=lambda: deque(maxlen=MARKS))  # as an endpoint's
+    marks: tuple[bool, ...] = ()  # recent outcomes, true for success
     before: tuple[int, float] = field(default=(0, NEVER))  # failures that a success ended, and their begin
     ended_at: float = NEVER  # when that was
 
+    def mark(self, success: bool) -> None:
+        """Take one more outcome to the recent ones."""
+        self.marks = (*self.marks, success)[-MARKS:]
+
 
 @dataclass(eq=False)
 class Lane:
