--- a/ashvale/control.py
+++ b/ashvale/control.py
@@ -191,8 +191,8 @@
         m.spent = event.spent
         m.maybe_ran = None if event.ran_at is None else (event.ran_at, event.ran_zone)  # in an earlier life
         self._later(repeat_by(m), m.dest, m.id)
-        if event.failed:
-            self._take_back(self.dests[m.dest], event.taken_back, now)
+        if event.failed and (e := self.slow_start.taken_back(self.dests[m.dest], event.taken_back, now)):
+            self._went_out(e, now, e.lane.recovery.failing_since, self.many, Outcome.RESET)
         self.rests |= {m.key: now + self.s.order_settle_ms} if m.key and m.maybe_ran else {}  # it may run yet
         self._expire(m, now, self.limits.line(m.id, now))
         self._thin(m.dest, now)
@@ -533,15 +533,6 @@
         if sent > e.lane.recovery.shut_sent:
             self._came_back(e, now)
 
-    def _take_back(self, dest: Destination, attempt: api.TakenBack | None, now: float) -> None:
-        """An attempt had failed: what the success that was told in its place has ended goes on."""
-        e = next((e for e in dest.endpoints if attempt and e.target == attempt.target), None)
-        left = dest.routes.get(attempt.target, dest.recovery) if attempt else dest.recovery
-        recovery = e.lane.recovery if e else left
-        self.slow_start.taken_back(dest, recovery, now)
-        if e and attempt and not self.many and e.ok_sent <= attempt.sent:
-            self._went_out(e, now, recovery.failing_since, self.many, Outcome.RESET)
-
     def _came_back(self, e: Endpoint, now: float) -> None:
         """The failing spell is over; after an outage the load returns in steps (rule four)."""
         if e.out_since is not None:
--- a/ashvale/slow_start.py
+++ b/ashvale/slow_start.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Optional
 
 from ashvale import interface as api
 from ashvale.interface import Outcome
@@ -98,13 +99,22 @@
         self._shut(e.lane.recovery, now)
         self._failed(e.lane.recovery, now, until, self.pace(e.lane, dest, 0.0, now), False)
 
-    def taken_back(self, dest: Destination, recovery: Recovery, now: float) -> None:
-        """The last success was none: that call had failed, or one of an earlier process."""
+    def taken_back(
+        self, dest: Destination, attempt: Optional[api.TakenBack], now: float
+    ) -> Optional[Endpoint]:
+        """The last success was none: that attempt had failed, or one of an earlier process.
+
+        What the success ended goes on. Returns the endpoint that is out again, where forwarders are few.
+        """
+        e = next((e for e in dest.endpoints if attempt and e.target == attempt.target), None)
+        left = dest.routes.get(attempt.target, dest.recovery) if attempt else dest.recovery
+        recovery = e.lane.recovery if e else left
         if not recovery.failures:  # else the outage at hand goes on
             recovery.failures, recovery.failing_since = recovery.before
         recovery.last_ok = NEVER
         pace = self.pace(dest.endpoints[0].lane, dest, 0.0, now) if dest.endpoints else NO_PACE
         self._failed(recovery, now, now, pace, False)
+        return e if e and attempt and not self.many and e.ok_sent <= attempt.sent else None
 
     def left(self, e: Endpoint, dest: Destination, now: float) -> None:
         """An endpoint is gone. A route apart that is cold, or silenced by a wait, is remembered."""
